Add the design, the module skeleton and the shared types

Cause: the parts of the system need one contract before they can be written side by side. Conclusion: the contract stands; behaviour follows.

--- /dev/null
+++ b/core/src/main/java/org/verbenatally/config/package-info.java
@@ -0,0 +1,2 @@
+/** The checked configuration of a deployment: reading, holding and comparing versions. */
+package org.verbenatally.config;
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/core/FailureDomain.java
@@ -0,0 +1,28 @@
+package org.verbenatally.core;
+
+/**
+ * Names a failure domain: the set of instances that one outage can take down together.
+ *
+ * @param value 1 to 128 characters out of letters, digits, dot, underscore, colon and hyphen
+ */
+public record FailureDomain(String value) implements Comparable<FailureDomain> {
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is empty, too long or holds another character
+     */
+    public FailureDomain {
+        Names.check("failure domain", value);
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/core/Incarnation.java
@@ -0,0 +1,40 @@
+package org.verbenatally.core;
+
+import java.security.SecureRandom;
+
+/**
+ * Tells one run of a process from the next under the same instance id. The upper 44 bits hold the start time in
+ * milliseconds since the epoch, the lower 20 bits are random, so that two starts in one millisecond differ.
+ *
+ * @param value the 64 bits, positive
+ */
+public record Incarnation(long value) implements Comparable<Incarnation> {
+    private static final int RANDOM_BITS = 20;
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is not positive
+     */
+    public Incarnation {
+        if (value <= 0) {
+            throw new IllegalArgumentException("incarnation must be positive: " + value);
+        }
+    }
+
+    /** Returns a new incarnation for a process that starts at the given time, in milliseconds since the epoch. */
+    public static Incarnation startedAt(long epochMillis) {
+        return new Incarnation(epochMillis << RANDOM_BITS | RANDOM.nextInt(1 << RANDOM_BITS));
+    }
+
+    @Override
+    public int compareTo(Incarnation other) {
+        return Long.compare(value, other.value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toHexString(value);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/core/ModelName.java
@@ -0,0 +1,28 @@
+package org.verbenatally.core;
+
+/**
+ * Names a model that engines can load.
+ *
+ * @param value 1 to 128 characters out of letters, digits, dot, underscore, colon and hyphen
+ */
+public record ModelName(String value) implements Comparable<ModelName> {
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is empty, too long or holds another character
+     */
+    public ModelName {
+        Names.check("model name", value);
+    }
+
+    @Override
+    public int compareTo(ModelName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/core/OrganisationId.java
@@ -0,0 +1,28 @@
+package org.verbenatally.core;
+
+/**
+ * Identifies the organisation a caller belongs to.
+ *
+ * @param value 1 to 128 characters out of letters, digits, dot, underscore, colon and hyphen
+ */
+public record OrganisationId(String value) implements Comparable<OrganisationId> {
+
+    /**
+     * Checks the value.
+     *
+     * @throws IllegalArgumentException if the value is empty, too long or holds another character
+     */
+    public OrganisationId {
+        Names.check("organisation id", value);
+    }
+
+    @Override
+    public int compareTo(OrganisationId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/core/package-info.java
@@ -0,0 +1,2 @@
+/** Value types and errors that all modules share. */
+package org.verbenatally.core;
--- /dev/null
+++ b/schema/src/main/thrift/peer.thrift
@@ -0,0 +1,135 @@
+// Messages between entry instances: TCompactProtocol in frames with a 4-byte big-endian length, at most 1 MiB.
+namespace java org.verbenatally.wire
+
+/** Opens a link; each side sends one before anything else. */
+struct Hello {
+  1: required i32 protocol,
+  2: required string instance,
+  3: required i64 incarnation,
+  4: required string failureDomain,
+  5: required string deployment
+}
+
+/** State of an entry instance as its peers see it. */
+enum MemberState {
+  LIVE = 1,
+  LEAVING = 2,
+  LEFT = 3
+}
+
+/** One row of the member table. */
+struct Member {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required string host,
+  4: required i32 peerPort,
+  5: required string failureDomain,
+  6: required MemberState state,
+  /** Grows by one each gossip period of the member itself. */
+  7: required i64 heartbeat,
+  8: required i64 configVersion,
+  /** Instance that took over the member's idempotency keys, if it left. */
+  9: optional string keySuccessor
+}
+
+/** What one entry has in flight on one target. */
+struct TargetLoad {
+  1: required string target,
+  2: required i32 requests,
+  3: required i64 tokens
+}
+
+/** A request fingerprint that was running when a target died. */
+struct Suspect {
+  1: required i64 fingerprintHigh,
+  2: required i64 fingerprintLow,
+  3: required i32 crashes,
+  4: required i32 isolatedCrashes,
+  5: required i32 expiresInMs,
+  /** Target on which the sender runs it now, if any. */
+  6: optional string runningOn
+}
+
+/** Periodic state exchange; also the heartbeat of the link. */
+struct Gossip {
+  1: required list<Member> members,
+  2: required list<TargetLoad> targetLoads,
+  3: required list<string> leavingTargets,
+  4: required list<Suspect> suspects,
+  5: required i64 configVersion,
+  /** SHA-256 of the deployment document, empty if there is none. */
+  6: required binary configDigest
+}
+
+/** Asks for the sender's deployment document in force. */
+struct ConfigRequest {
+  1: required i64 newerThan
+}
+
+/** The deployment document in force. */
+struct ConfigDocument {
+  1: required i64 version,
+  2: required binary digest,
+  3: required binary body
+}
+
+/** A call with an idempotency key, sent to the key's owner. */
+struct ForwardCall {
+  1: required i64 callId,
+  2: required string request,
+  3: required string organisation,
+  4: required string kind,
+  5: required string key,
+  6: required i64 deadlineMs,
+  7: required binary body
+}
+
+/** The owner's answer to a forwarded call. */
+struct ForwardResult {
+  1: required i64 callId,
+  2: required string outcome,
+  3: required i32 status,
+  4: required binary body,
+  5: optional string step,
+  6: optional string peer,
+  7: optional string message
+}
+
+/** One used idempotency key of a leaving instance. */
+struct KeyEntry {
+  1: required string key,
+  2: required i64 ageMs,
+  3: required string outcome,
+  4: required i32 status,
+  5: required binary body
+}
+
+/** Hands the key table of a leaving instance to a successor, in parts. */
+struct KeyTransfer {
+  1: required string instance,
+  2: required i64 incarnation,
+  /** Secret that signs the instance's keys. */
+  3: required binary secret,
+  /** Milliseconds on the instance's monotonic clock since it started. */
+  4: required i64 uptimeMs,
+  5: required list<KeyEntry> entries,
+  6: required bool last
+}
+
+/** Confirms a complete key transfer. */
+struct KeyTransferAck {
+  1: required string instance,
+  2: required i64 incarnation
+}
+
+/** One frame of a link. */
+union PeerFrame {
+  1: Hello hello,
+  2: Gossip gossip,
+  3: ConfigRequest configRequest,
+  4: ConfigDocument configDocument,
+  5: ForwardCall forwardCall,
+  6: ForwardResult forwardResult,
+  7: KeyTransfer keyTransfer,
+  8: KeyTransferAck keyTransferAck
+}
