--- /dev/null
+++ b/core/src/main/java/org/verbenatally/config/ConfigException.java
@@ -0,0 +1,53 @@
+package org.verbenatally.config;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.stream.Collectors;
+
+/** A settings or deployment document that is not accepted. It lists every fault that was found. */
+public final class ConfigException extends Exception {
+    private static final long serialVersionUID = 1;
+
+    private final String source;
+    private final transient List<Fault> faults;
+
+    /**
+     * One fault.
+     *
+     * @param line line in the document, from 1; 0 if the fault has no place
+     * @param field JSON pointer of the field, empty for the document as a whole
+     * @param expected what is wrong and what was expected
+     */
+    public record Fault(int line, String field, String expected) {
+        @Override
+        public String toString() {
+            String place = line > 0 ? "line " + line + ": " : "";
+            return place + (field.isEmpty() ? "document" : field) + ": " + expected;
+        }
+    }
+
+    /**
+     * Creates an error.
+     *
+     * @param source name of the document, as shown to the operator
+     * @param faults the faults, at least one
+     */
+    public ConfigException(String source, List<Fault> faults) {
+        super(source + ": "
+                + faults.stream()
+                        .map(Fault::toString)
+                        .collect(Collectors.joining("; ", faults.size() + " fault(s): ", "")));
+        this.source = Objects.requireNonNull(source, "source");
+        this.faults = List.copyOf(faults);
+    }
+
+    /** Returns the name of the document. */
+    public String source() {
+        return source;
+    }
+
+    /** Returns the faults in the order of the document. */
+    public List<Fault> faults() {
+        return faults;
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenatally/config/ConfigReaderTest.java
@@ -0,0 +1,122 @@
+package org.verbenatally.config;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.settings.EntrySettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+class ConfigReaderTest {
+    private static final Path EXAMPLES = Path.of("..", "examples");
+
+    /** Guards against examples that the reader refuses or that have another size than the fleets they stand for. */
+    @ParameterizedTest
+    @CsvSource({"abay, 8, 3, 3", "aarhus, 6, 3, 4"})
+    void readsExampleAtItsRealSize(String name, int engines, int services, int kinds) throws Exception {
+        Deployment d = ConfigReader.read(name, example(name));
+        assertThat(count(d, TargetType.ENGINE)).isEqualTo(engines);
+        assertThat(count(d, TargetType.SERVICE)).isEqualTo(services);
+        assertThat(d.kinds()).hasSize(kinds);
+        assertThat(d.organisations()).hasSize(10);
+        byte[] credential = "-credential".getBytes(StandardCharsets.UTF_8);
+        for (OrganisationId id : d.organisations().keySet()) {
+            byte[] own = (id.value() + new String(credential, StandardCharsets.UTF_8)).getBytes(StandardCharsets.UTF_8);
+            assertThat(d.organisations().get(id).matches(ConfigReader.digest(own)))
+                    .isTrue();
+        }
+    }
+
+    /** Guards against a second run of a booking because the example calls it repeatable. */
+    @Test
+    void bookingsAreNotRepeatable() throws Exception {
+        Kind booking = ConfigReader.read("abay", example("abay")).kinds().get(new KindName("order-booking"));
+        assertThat(booking.repeatable()).isFalse();
+    }
+
+    /** Guards against a fault that is hidden by another one, and against messages without line and field. */
+    @Test
+    void listsEveryFaultWithLineAndField() throws IOException {
+        String text = new String(example("abay"), StandardCharsets.UTF_8)
+                .replace("\"version\": 1,", "\"version\": 0, \"colour\": \"red\",")
+                .replace("\"objective\": 0.95", "\"objective\": 2");
+        var e = catchThrowableOfType(ConfigException.class, () -> read(text));
+        assertThat(e.faults())
+                .extracting(ConfigException.Fault::field)
+                .containsExactlyInAnyOrder("/version", "/colour", "/levels/objective");
+        assertThat(e.faults()).extracting(ConfigException.Fault::line).containsExactly(5, 5, 9);
+        assertThat(e.getMessage()).contains("unknown field", "line 9");
+    }
+
+    static Stream<String[]> brokenReferences() {
+        return Stream.of(
+                new String[] {
+                    "\"model\": \"glassguide-14b\", \"adapter\"", "\"model\": \"other\", \"adapter\"", "/kinds/0/model"
+                },
+                new String[] {"\"adapter\": \"finishing\"", "\"adapter\": \"other\"", "/kinds/0/adapter"},
+                new String[] {"\"id\": \"engine-2\"", "\"id\": \"engine-1\"", "/targets/1/id"},
+                new String[] {"\"port\": 9102", "\"port\": 9101", "/targets/1/port"},
+                new String[] {"\"id\": \"gibe\"", "\"id\": \"tana\"", "/organisations/1/id"},
+                new String[] {"\"type\": \"service\"", "\"type\": \"engine\"", "/kinds/1/runsOn"},
+                new String[] {
+                    "\"defaultKind\": \"guide\"", "\"defaultKind\": \"quote-check\"", "/organisations/0/defaultKind"
+                },
+                new String[] {"\"typicalTokens\": 900", "\"typicalTokens\": 90000", "/kinds/0/typicalTokens"},
+                new String[] {"\"version\": 1,", "\"version\": 1, \"version\": 2,", ""},
+                new String[] {"\"weightStore\"", "weightStore", ""});
+    }
+
+    /** Guards against documents in force that name a model, target or kind that does not exist. */
+    @ParameterizedTest
+    @MethodSource("brokenReferences")
+    void refusesDocumentWithBrokenReference(String from, String to, String field) throws IOException {
+        String text = new String(example("abay"), StandardCharsets.UTF_8);
+        assertThat(text).contains(from);
+        var e = catchThrowableOfType(ConfigException.class, () -> read(text.replace(from, to)));
+        assertThat(e.faults()).extracting(ConfigException.Fault::field).contains(field);
+    }
+
+    /** Guards against memory use that a hostile or broken platform decides. */
+    @Test
+    void refusesDocumentAboveOneMebibyte() {
+        var e = catchThrowableOfType(ConfigException.class, () -> ConfigReader.read("big", new byte[(1 << 20) + 1]));
+        assertThat(e).hasMessageContaining("at most 1048576 bytes");
+    }
+
+    /** Guards against an example that does not start, and against seeds that are noticed only when they are used. */
+    @Test
+    void readsSettingsAndRefusesBadSeed() throws Exception {
+        Path file = EXAMPLES.resolve("entry.settings.json");
+        EntrySettings settings = SettingsReader.read(file);
+        assertThat(settings.getDrainSeconds()).isEqualTo(2700);
+        byte[] bad =
+                Files.readString(file).replace("127.0.0.1:8102", "127.0.0.1").getBytes(StandardCharsets.UTF_8);
+        var e = catchThrowableOfType(ConfigException.class, () -> SettingsReader.read("entry", bad));
+        assertThat(e.faults()).singleElement().satisfies(f -> {
+            assertThat(f.field()).isEqualTo("/peers/seeds/1");
+            assertThat(f.line()).isPositive();
+        });
+    }
+
+    private static Deployment read(String text) throws ConfigException {
+        return ConfigReader.read("test", text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static long count(Deployment d, TargetType type) {
+        return d.targets().values().stream().filter(t -> t.type() == type).count();
+    }
+
+    private static byte[] example(String name) throws IOException {
+        return Files.readAllBytes(EXAMPLES.resolve(name + ".deployment.json"));
+    }
+}
