--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
@@ -0,0 +1,219 @@
+package org.verbenatally.peer;
+
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import org.jboss.logging.Logger;
+import org.verbenatally.config.ConfigException;
+import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.ConfigHolder.ConfigDocumentInForce;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
+import org.verbenatally.peer.FrameCodec.BadFrameException;
+import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.ConfigDocument;
+import org.verbenatally.wire.ConfigRequest;
+import org.verbenatally.wire.PeerFrame;
+
+/** Puts the highest valid document that the platform or a peer offers in force, and never a lower one. */
+final class ConfigSpreader {
+    private static final Logger LOG = Logger.getLogger(ConfigSpreader.class);
+
+    /** Rejected documents that are remembered, so that they are not fetched again from each peer. */
+    private static final int MAX_REJECTED = 64;
+
+    private final String deployment;
+    private final PeerTimings timings;
+    private final TimerService timers;
+    private final ConfigHolder holder;
+    private final Consumer<ConfigDocumentInForce> onAccepted;
+    private final List<Consumer<Deployment>> listeners = new CopyOnWriteArrayList<>();
+    private final Set<String> rejected = Collections.newSetFromMap(new Lru());
+    private final AtomicLong conflicts = new AtomicLong();
+    private final AtomicLong rejections = new AtomicLong();
+    private final AtomicLong fetches = new AtomicLong();
+    private volatile String lastFault = "none was offered";
+    private String lastConflict = "";
+    private volatile Fetch fetch;
+
+    private record Fetch(Link link, long until) {}
+
+    private static final class Lru extends LinkedHashMap<String, Boolean> {
+        private static final long serialVersionUID = 1;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Boolean> eldest) {
+            return size() > MAX_REJECTED;
+        }
+    }
+
+    ConfigSpreader(
+            PeerOptions options, TimerService timers, ConfigHolder holder, Consumer<ConfigDocumentInForce> onAccepted) {
+        this.deployment = options.deployment();
+        this.timings = options.timings();
+        this.timers = timers;
+        this.holder = holder;
+        this.onAccepted = onAccepted;
+    }
+
+    void listen(Consumer<Deployment> listener) {
+        listeners.add(listener);
+        holder.deployment().ifPresent(listener);
+    }
+
+    /** Returns the version in force, 0 if there is none. */
+    long version() {
+        return holder.deployment().map(d -> d.version().value()).orElse(0L);
+    }
+
+    String lastFault() {
+        return lastFault;
+    }
+
+    long conflicts() {
+        return conflicts.get();
+    }
+
+    long rejections() {
+        return rejections.get();
+    }
+
+    long fetches() {
+        return fetches.get();
+    }
+
+    boolean isFetching() {
+        Fetch f = fetch;
+        return f != null && !f.link().isClosed() && timers.nanos() - f.until() < 0;
+    }
+
+    /** Asks a peer for its document if it has a higher one. */
+    void onPeerVersion(Link link, long version, byte[] digest) {
+        if (version == 0 || !isHigher(version, digest)) {
+            return;
+        }
+        synchronized (this) {
+            if (isFetching() || rejected.contains(HexFormat.of().formatHex(digest))) {
+                return;
+            }
+            fetch = new Fetch(link, timers.nanos() + timings.startAsk().toNanos());
+        }
+        fetches.incrementAndGet();
+        link.send(PeerFrame.configRequest(new ConfigRequest(version())));
+    }
+
+    private boolean isHigher(long version, byte[] digest) {
+        Optional<ConfigDocumentInForce> own = holder.document();
+        if (own.isEmpty() || version > own.get().deployment().version().value()) {
+            return true;
+        }
+        byte[] ownDigest = own.get().digest();
+        boolean conflict = version == own.get().deployment().version().value() && !Arrays.equals(digest, ownDigest);
+        if (conflict) {
+            noteConflict(version, digest, ownDigest);
+        }
+        return conflict && Arrays.compareUnsigned(digest, ownDigest) > 0;
+    }
+
+    private synchronized void noteConflict(long version, byte[] a, byte[] b) {
+        String first = HexFormat.of().formatHex(a);
+        String second = HexFormat.of().formatHex(b);
+        String pair = first.compareTo(second) < 0 ? first + second : second + first;
+        if (!pair.equals(lastConflict)) {
+            lastConflict = pair;
+            conflicts.incrementAndGet();
+            LOG.errorf(
+                    "config: two documents have version %d (digests %.8s and %.8s); the higher digest wins, publish a"
+                            + " new version",
+                    version, first, second);
+        }
+    }
+
+    /** Answers a peer that asks for the document in force. */
+    void onRequest(Link link, ConfigRequest request) {
+        holder.document()
+                .filter(d -> d.deployment().version().value() >= request.getNewerThan())
+                .ifPresent(d -> link.send(PeerFrame.configDocument(new ConfigDocument(
+                        d.deployment().version().value(),
+                        java.nio.ByteBuffer.wrap(d.digest()),
+                        java.nio.ByteBuffer.wrap(FrameCodec.deflate(d.body()))))));
+    }
+
+    /** Takes the document of a peer; throws if it is not what its digest says, which closes the link. */
+    void onDocument(Link link, ConfigDocument document) throws BadFrameException {
+        byte[] body = FrameCodec.inflate(document.getBody(), ConfigReader.MAX_BYTES);
+        if (!Arrays.equals(ConfigReader.digest(body), document.getDigest())) {
+            throw new IllegalArgumentException("document of version " + document.getVersion() + " has another digest");
+        }
+        try {
+            offer("peer " + link, body);
+        } finally {
+            Fetch f = fetch;
+            if (f != null && f.link() == link) {
+                fetch = null;
+            }
+        }
+    }
+
+    /** Checks a document and puts it in force if it is higher; returns whether it is valid. */
+    boolean offer(String source, byte[] body) {
+        byte[] digest = ConfigReader.digest(body);
+        if (holder.document().filter(d -> Arrays.equals(d.digest(), digest)).isPresent()) {
+            return true;
+        }
+        String hex = HexFormat.of().formatHex(digest);
+        synchronized (this) {
+            if (rejected.contains(hex)) {
+                return false;
+            }
+        }
+        try {
+            ConfigDocumentInForce document = ConfigReader.readDocument(source, body);
+            if (!document.deployment().name().equals(deployment)) {
+                throw new ConfigException(
+                        source, List.of(new ConfigException.Fault(0, "/deployment", "must be \"" + deployment + "\"")));
+            }
+            // Notes a conflict if there is one; the holder decides again under its own lock.
+            isHigher(document.deployment().version().value(), digest);
+            if (holder.offer(document)) {
+                LOG.infof(
+                        "config: version %s from %s is in force",
+                        document.deployment().version(), source);
+                onAccepted.accept(document);
+                listeners.forEach(l -> l.accept(document.deployment()));
+            }
+            return true;
+        } catch (ConfigException e) {
+            synchronized (this) {
+                rejected.add(hex);
+            }
+            rejections.incrementAndGet();
+            lastFault = e.getMessage();
+            LOG.errorf("config: document rejected, the one in force stays: %s", e.getMessage());
+            return false;
+        }
+    }
+
+    /** Reads from the platform once; returns whether the read succeeded. */
+    boolean read(PlatformClient platform, Duration wait) throws InterruptedException {
+        try {
+            platform.config(version(), wait).get().ifPresent(body -> offer("platform", body));
+            return true;
+        } catch (ExecutionException e) {
+            LOG.debugf("config: %s", e.getCause().getMessage());
+            lastFault = e.getCause().getMessage();
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/PeerStats.java
@@ -0,0 +1,21 @@
+package org.verbenatally.peer;
+
+/**
+ * Counters of an instance's control traffic since its start.
+ *
+ * @param bytesSent bytes written to peer links, without TCP and IP headers
+ * @param bytesReceived bytes read from peer links
+ * @param links open links now
+ * @param platformReads reads from the platform
+ * @param configFetches documents asked for at peers
+ * @param configConflicts pairs of documents with one version that were seen
+ * @param configRejections documents that were not valid
+ */
+public record PeerStats(
+        long bytesSent,
+        long bytesReceived,
+        int links,
+        long platformReads,
+        long configFetches,
+        long configConflicts,
+        long configRejections) {}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/PlatformClient.java
@@ -0,0 +1,118 @@
+package org.verbenatally.peer;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+import org.verbenatally.core.StepException;
+
+/** Client of the platform: its configuration service and its instance list. Futures fail with a StepException. */
+final class PlatformClient {
+    private static final int OK = 200;
+    private static final int NOT_MODIFIED = 304;
+    private static final Duration GRACE = Duration.ofSeconds(3);
+    private static final int MAX_INSTANCES = 20_000;
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final HttpClient http;
+    private final Address address;
+
+    PlatformClient(Vertx vertx, Address address) {
+        this.address = address;
+        http = vertx.createHttpClient(new HttpClientOptions()
+                .setConnectTimeout((int) GRACE.toMillis())
+                // A silent connection must not keep the next read waiting; reads are rare, so none is pooled.
+                .setKeepAlive(false));
+    }
+
+    /** Reads a document newer than a version, or empty if there is none after the wait. */
+    CompletableFuture<Optional<byte[]>> config(long after, Duration wait) {
+        String uri = "/v1/config?after=" + after + "&waitMs=" + wait.toMillis();
+        return get(uri, wait.plus(GRACE));
+    }
+
+    /** Reads the instance list. */
+    CompletableFuture<List<PlatformInstance>> instances() {
+        return get("/v1/instances", GRACE).thenApply(body -> parse(body.orElseThrow(() -> failure("no body", null))));
+    }
+
+    private CompletableFuture<Optional<byte[]>> get(String uri, Duration timeout) {
+        var options = new RequestOptions()
+                .setMethod(HttpMethod.GET)
+                .setHost(address.host())
+                .setPort(address.port())
+                .setURI(uri)
+                .setTimeout(timeout.toMillis());
+        var result = new CompletableFuture<Optional<byte[]>>();
+        http.request(options)
+                .compose(request -> request.send().compose(this::body))
+                .onSuccess(result::complete)
+                .onFailure(e -> result.completeExceptionally(
+                        e instanceof StepException ? e : failure("read failed: " + e.getMessage(), e)));
+        return result;
+    }
+
+    private Future<Optional<byte[]>> body(HttpClientResponse response) {
+        if (response.statusCode() == NOT_MODIFIED) {
+            return Future.succeededFuture(Optional.empty());
+        }
+        if (response.statusCode() != OK) {
+            return Future.failedFuture(failure("status " + response.statusCode() + ", expected 200 or 304", null));
+        }
+        Promise<Optional<byte[]>> promise = Promise.promise();
+        Buffer body = Buffer.buffer();
+        response.exceptionHandler(promise::tryFail);
+        response.endHandler(v -> promise.tryComplete(Optional.of(body.getBytes())));
+        response.handler(chunk -> {
+            if (body.length() + chunk.length() > ConfigReader.MAX_BYTES) {
+                promise.tryFail(failure("body is longer than " + ConfigReader.MAX_BYTES + " bytes", null));
+                response.request().connection().close();
+            } else {
+                body.appendBuffer(chunk);
+            }
+        });
+        return promise.future();
+    }
+
+    private List<PlatformInstance> parse(byte[] body) {
+        try {
+            JsonNode list = MAPPER.readTree(body);
+            if (!list.isArray() || list.size() > MAX_INSTANCES) {
+                throw failure("instance list must be an array of at most " + MAX_INSTANCES, null);
+            }
+            List<PlatformInstance> result = new ArrayList<>();
+            for (JsonNode item : list) {
+                result.add(PlatformInstance.of(item));
+            }
+            return result;
+        } catch (IOException | IllegalArgumentException e) {
+            throw failure("instance list is not valid: " + e.getMessage(), e);
+        }
+    }
+
+    private StepException failure(String message, Throwable cause) {
+        return new StepException(Step.CONFIGURE, "platform " + address, Outcome.NOT_RUN, message, cause);
+    }
+
+    void close() {
+        http.close();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/PlatformReader.java
@@ -0,0 +1,145 @@
+package org.verbenatally.peer;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.jboss.logging.Logger;
+import org.verbenatally.core.InstanceId;
+
+/** Reads from the platform in two tasks, one for the configuration and one for the instance list. */
+final class PlatformReader {
+    private static final Logger LOG = Logger.getLogger(PlatformReader.class);
+
+    /** Instances of a region that hold a long poll; three, so that one stays when two fail at once. */
+    private static final int READERS_PER_REGION = 3;
+
+    /** Reads of the instance list over the whole fleet, a second; 2.5% of what the platform serves. */
+    private static final int LIST_READS_PER_SECOND = 50;
+
+    private static final Duration LIST_PERIOD = Duration.ofSeconds(2);
+
+    private final InstanceId self;
+    private final PeerTimings timings;
+    private final PlatformClient client;
+    private final ConfigSpreader spreader;
+    private final Membership membership;
+    private final UniformRandomProvider random;
+    private final List<Consumer<List<PlatformInstance>>> listeners = new CopyOnWriteArrayList<>();
+    private final AtomicLong reads = new AtomicLong();
+    private volatile boolean closed;
+    private volatile Thread configTask;
+    private volatile Thread listTask;
+
+    PlatformReader(PeerOptions options, PlatformClient client, ConfigSpreader spreader, Membership membership) {
+        self = options.instance();
+        timings = options.timings();
+        this.client = client;
+        this.spreader = spreader;
+        this.membership = membership;
+        random = RandomSource.XO_RO_SHI_RO_128_PP.create(
+                options.seed() + options.instance().hashCode());
+    }
+
+    void listen(Consumer<List<PlatformInstance>> listener) {
+        listeners.add(listener);
+    }
+
+    long reads() {
+        return reads.get();
+    }
+
+    void start() {
+        configTask = Thread.ofVirtual().name("config-" + self).start(this::readConfig);
+        listTask = Thread.ofVirtual().name("instances-" + self).start(this::readInstances);
+    }
+
+    boolean isReader() {
+        return Rendezvous.choose("config-reader", membership.liveInRegion(), READERS_PER_REGION)
+                .contains(self);
+    }
+
+    private void readConfig() {
+        try {
+            long backoff = timings.gossip().toNanos();
+            while (!closed) {
+                if (!isReader()) {
+                    backoff = timings.gossip().toNanos();
+                    awaitTurn();
+                }
+                long before = spreader.version();
+                long start = System.nanoTime();
+                Duration wait = isReader() ? timings.longPoll() : Duration.ZERO;
+                reads.incrementAndGet();
+                boolean read = spreader.read(client, wait);
+                boolean waited = System.nanoTime() - start > wait.toNanos() / 2 && wait.isPositive();
+                if (read && (waited || spreader.version() > before)) {
+                    backoff = timings.gossip().toNanos();
+                } else if (isReader()) {
+                    // Down, or it answers at once with an old or invalid document: reads must not spin.
+                    pause(backoff);
+                    backoff = Math.min(backoff * 2, timings.longPoll().toNanos() / 3);
+                }
+            }
+        } catch (InterruptedException e) {
+            LOG.debug("config: reading task ends");
+        }
+    }
+
+    /** Waits a poll period with jitter, or until this instance becomes a reader. */
+    private void awaitTurn() throws InterruptedException {
+        double share = 0.5 + random.nextDouble();
+        long until = System.nanoTime() + (long) (timings.poll().toNanos() * share);
+        while (System.nanoTime() - until < 0 && !isReader()) {
+            TimeUnit.NANOSECONDS.sleep(timings.gossip().multipliedBy(2).toNanos());
+        }
+    }
+
+    private void pause(long nanos) throws InterruptedException {
+        TimeUnit.NANOSECONDS.sleep((long) (nanos * (0.5 + random.nextDouble())));
+    }
+
+    private void readInstances() {
+        try {
+            while (!closed) {
+                readInstancesOnce();
+                long share = TimeUnit.SECONDS.toNanos(membership.members().size()) / LIST_READS_PER_SECOND;
+                pause(Math.max(LIST_PERIOD.toNanos(), share));
+            }
+        } catch (InterruptedException e) {
+            LOG.debug("peer: instance list task ends");
+        }
+    }
+
+    /** Reads the configuration once, without a wait. */
+    void readConfigOnce() throws InterruptedException {
+        reads.incrementAndGet();
+        spreader.read(client, Duration.ZERO);
+    }
+
+    /** Reads the instance list once; failures are left to the next read. */
+    void readInstancesOnce() throws InterruptedException {
+        try {
+            reads.incrementAndGet();
+            List<PlatformInstance> list = client.instances().get();
+            listeners.forEach(l -> l.accept(list));
+        } catch (ExecutionException e) {
+            LOG.debugf("peer: instance list: %s", e.getCause().getMessage());
+        }
+    }
+
+    void close() {
+        closed = true;
+        if (configTask != null) {
+            configTask.interrupt();
+            listTask.interrupt();
+        }
+        client.close();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/Rendezvous.java
@@ -0,0 +1,27 @@
+package org.verbenatally.peer;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+
+import com.dynatrace.hash4j.hashing.Hashing;
+import org.verbenatally.core.InstanceId;
+
+/** Rendezvous hashing: all instances that know the same members choose the same ones for a subject. */
+public final class Rendezvous {
+    private Rendezvous() {}
+
+    /** Returns the first {@code n} members for a subject, in order of their weight. */
+    public static List<InstanceId> choose(String subject, Collection<InstanceId> members, int n) {
+        return members.stream()
+                .sorted(Comparator.comparingLong((InstanceId m) -> weight(subject, m))
+                        .reversed()
+                        .thenComparing(Comparator.naturalOrder()))
+                .limit(n)
+                .toList();
+    }
+
+    private static long weight(String subject, InstanceId member) {
+        return Hashing.komihash5_0().hashCharsToLong(subject + "/" + member.value());
+    }
+}
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -7,7 +7,9 @@
   2: required string instance,
   3: required i64 incarnation,
   4: required string failureDomain,
-  5: required string deployment
+  5: required string deployment,
+  /** Set on a link that only carries forwarded calls and key transfers; such a link carries no gossip. */
+  6: optional bool callsOnly
 }
 
 /** State of an entry instance as its peers see it. */
@@ -29,7 +31,22 @@
   7: required i64 heartbeat,
   8: required i64 configVersion,
   /** Instance that took over the member's idempotency keys, if it left. */
-  9: optional string keySuccessor
+  9: optional string keySuccessor,
+  /** Incarnation of that instance when it took over. */
+  10: optional i64 keySuccessorIncarnation,
+  /** Region the member is in; absent: the default region. */
+  11: optional string region
+}
+
+/**
+ * Heartbeats of members that the receiver is expected to know, one position for each member in each list. A row hash
+ * covers instance, incarnation, state and key successor, so an unknown hash tells the receiver to ask for the row.
+ */
+struct Beats {
+  1: required list<i32> rows,
+  2: required list<i64> heartbeats,
+  /** The configuration version of the gossip frame minus that of the member. */
+  3: required list<i64> versionLags
 }
 
 /** What one entry has in flight on one target. */
@@ -58,7 +75,12 @@
   4: required list<Suspect> suspects,
   5: required i64 configVersion,
   /** SHA-256 of the deployment document, empty if there is none. */
-  6: required binary configDigest
+  6: required binary configDigest,
+  7: optional Beats beats,
+  /** Row hashes that the sender does not know; the receiver answers with rows in its next frame. */
+  8: optional list<i32> wantedRows,
+  /** Set if targetLoads, leavingTargets and suspects are left out and what was said before still holds. */
+  9: optional bool membersOnly
 }
 
 /** Asks for the sender's deployment document in force. */
@@ -69,7 +91,9 @@
 /** The deployment document in force. */
 struct ConfigDocument {
   1: required i64 version,
+  /** SHA-256 of the document before compression. */
   2: required binary digest,
+  /** The document in zlib format, so that one of a megabyte fits a frame. */
   3: required binary body
 }
 
