Test peers over loopback with a faulty network

Cause: membership, forwarding and key transfer had no tests. Change: a fleet of peers in one process, a relay that refuses and silences connections, and a package-private dialer through which tests connect. Conclusion: the eight cases of PeersTest pass.

--- a/core/src/main/java/org/verbenatally/peer/Links.java
+++ b/core/src/main/java/org/verbenatally/peer/Links.java
@@ -15,8 +15,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
+import io.vertx.core.Future;
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -56,7 +55,7 @@
     private final Membership membership;
     private final TimerService timers;
     private final Link.Listener listener;
-    private final NetClient client;
+    private final Dialer dialer;
     private final NetServer server;
     private final UniformRandomProvider random;
     private final Map<Integer, Link> open = new ConcurrentHashMap<>();
@@ -69,6 +68,12 @@
     private long nextFarDial;
     private volatile boolean closing;
 
+    /** Opens connections; tests put a faulty network in its place. */
+    @FunctionalInterface
+    interface Dialer {
+        Future<NetSocket> connect(Address address);
+    }
+
     private record Backoff(long until, int periods) {}
 
     Links(
@@ -76,7 +81,7 @@
             Run self,
             Membership membership,
             TimerService timers,
-            Vertx vertx,
+            Dialer dialer,
             NetServer server,
             Link.Listener listener) {
         this.options = options;
@@ -85,7 +90,7 @@
         this.timers = timers;
         this.server = server;
         this.listener = listener;
-        client = vertx.createNetClient(PeerTls.client(options));
+        this.dialer = dialer;
         random = RandomSource.XO_RO_SHI_RO_128_PP.create(
                 options.seed() ^ options.instance().hashCode());
         hints.addAll(options.seeds());
@@ -148,7 +153,7 @@
             return result;
         }
         backOff(address);
-        client.connect(address.port(), address.host()).onComplete(socket -> {
+        dialer.connect(address).onComplete(socket -> {
             if (socket.failed()) {
                 result.completeExceptionally(new Link.LinkClosedException(
                         "cannot connect: " + socket.cause().getMessage()));
@@ -346,7 +351,7 @@
         closing = true;
         open.values().forEach(l -> l.close("this instance is stopping"));
         var closed = new CompletableFuture<Void>();
-        server.close().eventually(client::close).onComplete(r -> closed.complete(null));
+        server.close().onComplete(r -> closed.complete(null));
         return closed;
     }
 }
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -14,6 +14,7 @@
 import java.util.function.Consumer;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
 import io.vertx.core.net.NetServer;
 import org.jboss.logging.Logger;
 import org.verbenatally.config.ConfigHolder;
@@ -67,6 +68,7 @@
             PeerOptions options,
             Vertx vertx,
             NetServer server,
+            Links.Dialer dialer,
             TimerService timers,
             ConfigHolder config,
             PeerHandler handler) {
@@ -84,7 +86,7 @@
                 config.deployment().map(Deployment::version).orElse(ConfigVersion.NONE),
                 Optional.empty());
         membership = new Membership(own, options.timings(), timers);
-        links = new Links(options, self, membership, timers, vertx, server, new FrameListener());
+        links = new Links(options, self, membership, timers, dialer, server, new FrameListener());
         exchange = new GossipExchange(options.timings(), membership, timers, config, handler);
         spreader = new ConfigSpreader(options, timers, config, document -> {
             membership.setConfigVersion(document.deployment().version());
@@ -107,6 +109,17 @@
      */
     public static CompletableFuture<Peers> start(
             PeerOptions options, Vertx vertx, TimerService timers, ConfigHolder config, PeerHandler handler) {
+        NetClient client = vertx.createNetClient(PeerTls.client(options));
+        return start(options, vertx, a -> client.connect(a.port(), a.host()), timers, config, handler);
+    }
+
+    static CompletableFuture<Peers> start(
+            PeerOptions options,
+            Vertx vertx,
+            Links.Dialer dialer,
+            TimerService timers,
+            ConfigHolder config,
+            PeerHandler handler) {
         Objects.requireNonNull(handler, "handler");
         var result = new CompletableFuture<Peers>();
         var peers = new CompletableFuture<Peers>();
@@ -129,7 +142,7 @@
                         listening.cause()));
                 return;
             }
-            Peers p = new Peers(options, vertx, server, timers, config, handler);
+            Peers p = new Peers(options, vertx, server, dialer, timers, config, handler);
             peers.complete(p);
             p.run();
             result.complete(p);
@@ -369,6 +382,11 @@
     public CompletableFuture<Void> close() {
         membership.setOwn(MemberState.LEFT, Optional.empty());
         exchange.sendMembers(links.all());
+        return abort();
+    }
+
+    /** Ends without telling the peers, as a killed process does. */
+    CompletableFuture<Void> abort() {
         subscriptions.forEach(Subscription::cancel);
         platform.ifPresent(PlatformReader::close);
         return links.close();
--- /dev/null
+++ b/core/src/test/java/org/verbenatally/peer/PeersTest.java
@@ -0,0 +1,182 @@
+package org.verbenatally.peer;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.StepException;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.peer.MemberInfo.Status;
+import org.verbenatally.wire.ForwardCall;
+import org.verbenatally.wire.ForwardResult;
+import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.Suspect;
+import org.verbenatally.wire.TargetLoad;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+class PeersTest {
+    private final Fleet fleet = new Fleet();
+
+    @AfterEach
+    void close() throws Exception {
+        fleet.close();
+    }
+
+    /** Guards against instances that stay alone, and against loads, leaving targets or suspects that do not arrive. */
+    @Test
+    void membersFindEachOtherAndShareState() throws Exception {
+        fleet.of(8);
+        var one = fleet.node("e1");
+        one.ownLoads = List.of(new TargetLoad("engine-1", 3, 400));
+        one.ownLeaving = Set.of(new TargetId("engine-2"));
+        one.suspects.put(5L, new Suspect(1, 5, 2, 1, 60_000));
+        one.peers.push();
+        Fleet.await(() -> fleet.nodes.values().stream()
+                .filter(n -> n != one)
+                .allMatch(n -> n.loads.getOrDefault(one.peers.self(), List.of()).equals(one.ownLoads)
+                        && one.ownLeaving.equals(n.leaving.get(one.peers.self()))
+                        && n.suspects.containsKey(5L)));
+        one.ownLeaving = Set.of();
+        Fleet.await(() -> fleet.node("e8").leaving.get(one.peers.self()).isEmpty());
+    }
+
+    /** Guards against lost members in a fleet that is too large for a link between any two. */
+    @Test
+    void largeFleetStaysConnectedWithFewLinks() throws Exception {
+        fleet.of(24);
+        Fleet.await(() ->
+                fleet.nodes.values().stream().allMatch(n -> n.peers.stats().links() < 23));
+        fleet.awaitAllLive();
+    }
+
+    /** Guards against dead members that stay live, and against a restarted one that is taken for the dead one. */
+    @Test
+    void killedMemberIsSuspectThenGoneAndReturnsAsAnotherRun() throws Exception {
+        fleet.of(3);
+        var dead = fleet.nodes.remove("e3");
+        dead.peers.abort().get(30, TimeUnit.SECONDS);
+        Fleet.await(
+                () -> fleet.nodes.values().stream().allMatch(n -> n.member("e3").status() == Status.SUSPECT));
+        Fleet.await(() -> fleet.nodes.values().stream().allMatch(n -> n.gone.contains(dead.peers.self())));
+        var back = fleet.start("e3");
+        fleet.awaitAllLive();
+        assertThat(fleet.node("e1").member("e3").incarnation()).isEqualTo(back.peers.incarnation());
+    }
+
+    /** Guards against a member that leaves by itself and is waited for as if it had failed. */
+    @Test
+    void leavingAndLeftAreKnownWithoutTimeout() throws Exception {
+        fleet.of(3);
+        fleet.node("e3").peers.leave();
+        Fleet.await(() -> fleet.node("e1").member("e3").status() == Status.LEAVING);
+        fleet.nodes.remove("e3").peers.close().get(30, TimeUnit.SECONDS);
+        Fleet.await(() -> fleet.node("e1").member("e3").status() == Status.GONE);
+    }
+
+    /** Guards against calls that reach an instance that is not the owner of the key. */
+    @Test
+    void forwardsToOwnerOnly() throws Exception {
+        fleet.of(2);
+        var owner = fleet.node("e2").peers;
+        assertThat(forward("e1", owner.self(), owner.incarnation()).get(30, TimeUnit.SECONDS))
+                .satisfies(r -> assertThat(r.getCallId()).isEqualTo(42))
+                .satisfies(r -> assertThat(text(r)).isEqualTo("e2 got key from e1"));
+        assertUnknown(
+                forward("e1", owner.self(), new Incarnation(owner.incarnation().value() - 1)));
+        assertUnknown(forward("e1", new InstanceId("nobody"), owner.incarnation()));
+    }
+
+    /** Guards against keys that are lost when their owner and then its successor are replaced. */
+    @Test
+    void forwardsToKeySuccessorOfSuccessor() throws Exception {
+        fleet.of(3);
+        var first = fleet.node("e1").peers;
+        handOver("e1", "e2");
+        handOver("e2", "e3");
+        assertThat(fleet.node("e3").transfers).hasSize(2);
+        var four = fleet.start("e4");
+        fleet.start("e1");
+        fleet.awaitAllLive();
+        Fleet.await(() -> {
+            try {
+                return text(forward("e4", first.self(), first.incarnation()).get(30, TimeUnit.SECONDS))
+                        .equals("e3 got key from e4");
+            } catch (ExecutionException | InterruptedException | java.util.concurrent.TimeoutException e) {
+                return false;
+            }
+        });
+        assertThat(four.peers.members()).hasSize(4);
+    }
+
+    /** Guards against a call that waits for ever or is reported as not run when its owner is dead or slow. */
+    @Test
+    void unreachableOrSlowOwnerGivesUnknown() throws Exception {
+        fleet.of(2);
+        var owner = fleet.node("e2");
+        owner.answerGate = new CompletableFuture<>();
+        assertUnknown(forward("e1", owner.peers.self(), owner.peers.incarnation(), Duration.ofMillis(300)));
+        fleet.nodes.remove("e2").peers.abort().get(30, TimeUnit.SECONDS);
+        assertUnknown(forward("e1", owner.peers.self(), owner.peers.incarnation()));
+    }
+
+    /** Guards against a call that is lost on a connection that went silent: it is sent again on another one. */
+    @Test
+    void forwardsAgainWhenTheLinkGoesSilent() throws Exception {
+        fleet.of(2);
+        var owner = fleet.node("e2");
+        var links = new String[][] {{"e1", "e2"}, {"e2", "e1"}};
+        for (String[] l : links) {
+            fleet.network.silence(l[0], fleet.node(l[1]).peers.address());
+        }
+        assertThat(text(forward("e1", owner.peers.self(), owner.peers.incarnation())
+                        .get(30, TimeUnit.SECONDS)))
+                .isEqualTo("e2 got key from e1");
+    }
+
+    private void handOver(String from, String to) throws Exception {
+        var leaver = fleet.node(from).peers;
+        leaver.leave();
+        var part =
+                new KeyTransfer(from, leaver.incarnation().value(), ByteBuffer.allocate(32), 1_000, List.of(), false);
+        leaver.transferKeys(new InstanceId(to), List.of(part, part.deepCopy().setLast(true)), Duration.ofSeconds(30))
+                .get(30, TimeUnit.SECONDS);
+        leaver.announceKeySuccessor(new InstanceId(to));
+        Fleet.await(() -> fleet.nodes.values().stream()
+                .allMatch(n -> n.member(from).keySuccessor().equals(Optional.of(new InstanceId(to)))));
+        fleet.nodes.remove(from).peers.close().get(30, TimeUnit.SECONDS);
+    }
+
+    private CompletableFuture<ForwardResult> forward(String from, InstanceId owner, Incarnation run) {
+        return forward(from, owner, run, Duration.ofSeconds(30));
+    }
+
+    private CompletableFuture<ForwardResult> forward(String from, InstanceId owner, Incarnation run, Duration timeout) {
+        var call = new ForwardCall(42, "r", "tana", "order-booking", "key", 1_000, ByteBuffer.allocate(0));
+        return fleet.node(from).peers.forward(owner, run, call, timeout);
+    }
+
+    private static String text(ForwardResult r) {
+        return new String(r.getBody(), StandardCharsets.UTF_8);
+    }
+
+    private static void assertUnknown(CompletableFuture<ForwardResult> future) {
+        var e = catchThrowableOfType(ExecutionException.class, () -> future.get(60, TimeUnit.SECONDS));
+        assertThat(e.getCause()).isInstanceOfSatisfying(StepException.class, s -> {
+            assertThat(s.outcome()).isEqualTo(Outcome.UNKNOWN);
+            assertThat(s.retryAfter()).isPresent();
+        });
+    }
+}
