--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/standin/StandinMain.java
@@ -0,0 +1,157 @@
+package org.verbenatally.standin;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.verbenatally.core.Address;
+
+/**
+ * Runs one stand-in as a process: {@code engine}, {@code service}, {@code platform} or {@code relay}. Prints {@code
+ * listening HOST:PORT} when it is ready and stops at SIGTERM. Status 2: wrong arguments.
+ */
+public final class StandinMain {
+    private static final String USAGE = "usage: verbenatally-standin engine|service|platform|relay"
+            + " [--host IP] [--port N] [--id ID] [--history FILE] [--set NAME=VALUE]..."
+            + " [--config FILE] [--instances FILE] [--target HOST:PORT] [--admin-port N]";
+    private static final int CRASH_STATUS = 137;
+
+    private StandinMain() {}
+
+    /** Starts the stand-in that the first argument names. */
+    public static void main(String[] args) {
+        try {
+            CommandLine line = new DefaultParser().parse(options(), args);
+            if (line.hasOption("help")) {
+                System.out.println(USAGE);
+                return;
+            }
+            if (line.getArgs().length != 1) {
+                throw new ParseException("one stand-in must be named");
+            }
+            System.out.println("listening " + line.getOptionValue("host", "127.0.0.1") + ":" + start(line));
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println("standin: " + e.getMessage());
+            System.err.println(USAGE);
+            System.exit(2);
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(
+                Option.builder().longOpt("help").desc("print the usage").get());
+        for (String name :
+                new String[] {"host", "port", "id", "history", "config", "instances", "target", "admin-port"}) {
+            options.addOption(Option.builder().longOpt(name).hasArg().get());
+        }
+        options.addOption(Option.builder().longOpt("set").hasArg().get());
+        return options;
+    }
+
+    private static int start(CommandLine line) throws ParseException {
+        String type = line.getArgs()[0];
+        String id = line.getOptionValue("id", type + "-1");
+        return switch (type) {
+            case "engine" -> {
+                var options = OptionRecords.with(EngineOptions.defaults(id), changes(line));
+                yield started(
+                        new EngineStandin(options, () -> Runtime.getRuntime().halt(CRASH_STATUS)));
+            }
+            case "service" ->
+                started(new ServiceStandin(OptionRecords.with(ServiceOptions.defaults(id), changes(line))));
+            case "platform" -> platform(line);
+            case "relay" -> relay(line);
+            default -> throw new ParseException("unknown stand-in " + type);
+        };
+    }
+
+    private static int started(EngineStandin engine) {
+        stopAtExit(engine);
+        return engine.start();
+    }
+
+    private static int started(ServiceStandin service) {
+        stopAtExit(service);
+        return service.start();
+    }
+
+    private static int platform(CommandLine line) {
+        var platform = new PlatformStandin(OptionRecords.with(PlatformOptions.defaults(), changes(line)));
+        stopAtExit(platform);
+        int port = platform.start();
+        if (line.hasOption("config")) {
+            String document = read(line.getOptionValue("config"));
+            platform.publish(new JsonObject(document).getLong("version"), document);
+        }
+        if (line.hasOption("instances")) {
+            for (Object instance : new JsonArray(read(line.getOptionValue("instances")))) {
+                JsonObject members = (JsonObject) instance;
+                platform.putInstance(members.getString("id"), members);
+            }
+        }
+        return port;
+    }
+
+    private static int relay(CommandLine line) throws ParseException {
+        if (!line.hasOption("target")) {
+            throw new ParseException("relay needs --target HOST:PORT");
+        }
+        Address target = Address.parse(line.getOptionValue("target"));
+        String host = line.getOptionValue("host", "127.0.0.1");
+        int port = Integer.parseInt(line.getOptionValue("port", "0"));
+        var relay = new TcpRelay(new RelayOptions(host, port, target.host(), target.port()));
+        stopAtExit(relay);
+        var admin = new RelayAdmin(relay, host, Integer.parseInt(line.getOptionValue("admin-port", "0")));
+        stopAtExit(admin);
+        System.out.println("admin " + host + ":" + admin.start());
+        return relay.start();
+    }
+
+    private static Map<String, String> changes(CommandLine line) {
+        Map<String, String> changes = new LinkedHashMap<>();
+        for (String name : new String[] {"host", "port", "id", "history"}) {
+            if (line.hasOption(name)) {
+                changes.put(name, line.getOptionValue(name));
+            }
+        }
+        if (line.hasOption("set")) {
+            for (String pair : line.getOptionValues("set")) {
+                int equals = pair.indexOf('=');
+                if (equals < 1) {
+                    throw new IllegalArgumentException("--set needs NAME=VALUE: " + pair);
+                }
+                changes.put(pair.substring(0, equals), pair.substring(equals + 1));
+            }
+        }
+        return changes;
+    }
+
+    private static String read(String file) {
+        try {
+            return Files.readString(Path.of(file));
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot read " + file, e);
+        }
+    }
+
+    private static void stopAtExit(AutoCloseable part) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            try {
+                part.close();
+            } catch (Exception e) {
+                System.err.println("standin: close failed: " + e.getMessage());
+            }
+        }));
+    }
+}
