Add histories and the checker of the invariants

Cause: Runs against real processes need a record that can be judged against each invariant. Conclusion: 21 planted violations are reported, each by exactly its rule; the clean history passes.

--- /dev/null
+++ b/tools/src/test/java/org/verbenatally/history/HistoryCheckerTest.java
@@ -0,0 +1,172 @@
+package org.verbenatally.history;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.history.HistoryRecord.Answer;
+import org.verbenatally.history.HistoryRecord.Fault;
+import org.verbenatally.history.HistoryRecord.Leaving;
+import org.verbenatally.history.HistoryRecord.Run;
+import org.verbenatally.history.HistoryRecord.Sent;
+import org.verbenatally.history.HistoryRecord.Stop;
+import org.verbenatally.history.HistoryRecord.TokenSeen;
+import org.verbenatally.history.HistoryRecord.VersionSeen;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class HistoryCheckerTest {
+    private static final HistoryRecord GUIDE = new Sent(1, "r1", "w1", "guide", true, true, null, "e1");
+    private static final HistoryRecord GUIDE_RUN = new Run(2, "t1", "g1", "w1", true, 2, "ab");
+    // Without text, so that a wrong order of tokens breaks one rule only.
+    private static final HistoryRecord RUN_WITHOUT_TEXT = new Run(2, "t1", "g1", "w1", false, 2, null);
+    private static final HistoryRecord FIRST = token("r1", "g1", 0, "a");
+    private static final HistoryRecord SECOND = token("r1", "g1", 1, "b");
+    private static final HistoryRecord GUIDE_DONE = end("r1", Outcome.DONE, 2, null);
+    private static final HistoryRecord BOOKING = new Sent(1, "r2", "w2", "order-booking", false, false, "k2", "e1");
+    private static final HistoryRecord BOOKING_RUN = new Run(3, "s1", "c2", "w2", true, 0, "ok w2");
+    private static final HistoryRecord BOOKING_DONE = end("r2", Outcome.DONE, -1, "ok w2");
+
+    private static HistoryRecord token(String request, String generation, long offset, String text) {
+        return new TokenSeen(4, request, generation, offset, text);
+    }
+
+    private static HistoryRecord end(String request, Outcome outcome, long tokens, String text) {
+        return new Answer(10, request, outcome, 200, null, null, tokens, text);
+    }
+
+    private static History history(HistoryRecord... records) {
+        return History.of(records);
+    }
+
+    static Stream<Arguments> plantedAnswers() {
+        return Stream.of(
+                plant("repeated token", Rule.TOKENS_ONCE, GUIDE, RUN_WITHOUT_TEXT, FIRST, FIRST),
+                plant("reordered tokens", Rule.TOKENS_ONCE, GUIDE, RUN_WITHOUT_TEXT, SECOND, FIRST),
+                plant("token gap", Rule.TOKENS_ONCE, GUIDE, RUN_WITHOUT_TEXT, FIRST, token("r1", "g1", 2, "c")),
+                plant("two generations", Rule.TOKENS_ONCE, GUIDE, RUN_WITHOUT_TEXT, FIRST, token("r1", "g2", 1, "b")),
+                plant("short stream", Rule.ANSWERS_MATCH, GUIDE, GUIDE_RUN, FIRST, GUIDE_DONE),
+                plant(
+                        "stream ended early",
+                        Rule.ANSWERS_MATCH,
+                        GUIDE,
+                        GUIDE_RUN,
+                        FIRST,
+                        end("r1", Outcome.DONE, 1, null)),
+                plant("foreign text", Rule.ANSWERS_MATCH, GUIDE, GUIDE_RUN, token("r1", "g1", 0, "z")),
+                plant("generation nobody ran", Rule.ANSWERS_MATCH, GUIDE, FIRST),
+                plant(
+                        "stream of other work",
+                        Rule.ANSWERS_MATCH,
+                        GUIDE,
+                        new Run(2, "t1", "g1", "w9", true, 2, "ab"),
+                        FIRST),
+                plant("crossed answer", Rule.ANSWERS_MATCH, BOOKING, BOOKING_RUN, end("r2", Outcome.DONE, -1, "ok w9")),
+                plant("answer without a run", Rule.ANSWERS_MATCH, BOOKING, BOOKING_DONE),
+                plant("two answers", Rule.ANSWERS_MATCH, BOOKING, BOOKING_RUN, BOOKING_DONE, BOOKING_DONE));
+    }
+
+    static Stream<Arguments> plantedRuns() {
+        return Stream.of(
+                plant("not-run ran", Rule.NOT_RUN_HELD, GUIDE, GUIDE_RUN, end("r1", Outcome.NOT_RUN, -1, null)),
+                plant(
+                        "copy of a key refused after a run",
+                        Rule.NOT_RUN_HELD,
+                        BOOKING,
+                        BOOKING_RUN,
+                        BOOKING_DONE,
+                        new Sent(20, "r3", "w2", "order-booking", false, false, "k2", "e2"),
+                        end("r3", Outcome.NOT_RUN, -1, null)),
+                plant("run before any copy", Rule.NOT_RUN_HELD, GUIDE, new Run(0, "t1", "g0", "w1", true, 2, "ab")),
+                plant(
+                        "booked twice",
+                        Rule.AT_MOST_ONCE,
+                        BOOKING,
+                        BOOKING_RUN,
+                        new Run(5, "s2", "c3", "w2", true, 0, "ok w2")),
+                plant(
+                        "new work on a leaving target",
+                        Rule.LEAVING_RESTS,
+                        new Leaving(1, "t1"),
+                        GUIDE,
+                        new Run(2_002, "t1", "g1", "w1", true, 2, "ab")),
+                plant(
+                        "version fell across a restart",
+                        Rule.CONFIG_MONOTONIC,
+                        new VersionSeen(1, "e1", 5, "aa"),
+                        new VersionSeen(2, "e1", 4, "bb")),
+                plant(
+                        "digest of the same version fell",
+                        Rule.CONFIG_MONOTONIC,
+                        new VersionSeen(1, "e1", 5, "bb"),
+                        new VersionSeen(2, "e1", 5, "aa")),
+                plant(
+                        "stream cut by a stop",
+                        Rule.STOP_IS_GRACEFUL,
+                        GUIDE,
+                        GUIDE_RUN,
+                        new Stop(5, "e1"),
+                        end("r1", null, -1, null)),
+                plant("request left open by a stop", Rule.STOP_IS_GRACEFUL, GUIDE, new Stop(5, "e1")));
+    }
+
+    private static Arguments plant(String name, Rule rule, HistoryRecord... records) {
+        return Arguments.of(name, rule, history(records));
+    }
+
+    /** Guards against a rule that passes the very violation it exists for. */
+    @ParameterizedTest(name = "{0}")
+    @MethodSource({"plantedAnswers", "plantedRuns"})
+    void reportsPlantedViolation(String name, Rule rule, History history) {
+        HistoryReport report = new HistoryChecker().check(history);
+        assertThat(report.broken(rule)).as(name).isPositive();
+        assertThat(report.violations()).allMatch(each -> each.rule() == rule);
+    }
+
+    private static History clean() {
+        List<HistoryRecord> records = new ArrayList<>(
+                List.of(GUIDE, GUIDE_RUN, FIRST, SECOND, GUIDE_DONE, BOOKING, BOOKING_RUN, BOOKING_DONE));
+        records.add(new Sent(1, "r3", "w3", "guide", true, false, null, "e2"));
+        records.add(end("r3", Outcome.NOT_RUN, -1, null));
+        records.add(new Sent(1, "r4", "w4", "order-booking", false, false, "k4", "e2"));
+        records.add(end("r4", Outcome.UNKNOWN, -1, null));
+        records.add(new Leaving(1, "t1"));
+        records.add(new Stop(5, "e1"));
+        records.add(new VersionSeen(1, "e1", 4, "bb"));
+        records.add(new VersionSeen(2, "e1", 5, "aa"));
+        return history(records.toArray(HistoryRecord[]::new));
+    }
+
+    /** Guards against rules that report work in order, and against wrong shares of the non-repeatable work. */
+    @Test
+    void passesCleanHistoryAndCountsOutcomes() {
+        HistoryReport report = new HistoryChecker().check(clean());
+        assertThat(report.violations()).isEmpty();
+        assertThat(report.counts()).isEqualTo(new HistoryReport.Counts(4, 2, 1, 1, 0, 0, 2, 1, 1));
+        assertThat(report.counts().summary()).contains("ran-share=0.500 unknown-share=0.500");
+    }
+
+    /** Guards against blaming a planned stop for a request that a fault broke. */
+    @Test
+    void excusesRequestOpenAtAFault() {
+        HistoryReport report = new HistoryChecker()
+                .check(history(GUIDE, new Stop(5, "e1"), new Fault(6, "kill", "t1"), end("r1", null, -1, null)));
+        assertThat(report.violations()).isEmpty();
+    }
+
+    /** Guards against records that are lost or changed on the way through a file. */
+    @Test
+    void readsWhatItWrote(@TempDir Path folder) {
+        History history = clean();
+        history.add(new Fault(6, "kill", "t1"));
+        history.write(folder.resolve("history.jsonl"));
+        assertThat(History.read(folder.resolve("history.jsonl")).records()).isEqualTo(history.records());
+    }
+}
