Test the interfaces of the stand-ins; record the id of the work

Cause: the history checker matches runs with callers' sends by the id of the work; an embedded engine recorded events after its crash. Change: marker [work=ID] in prompts, member work in bodies; a crashed engine records nothing more.

--- a/tools/src/main/java/org/verbenatally/standin/EngineStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/EngineStandin.java
@@ -14,7 +14,7 @@
  * memory model; {@code docs/standins.md} describes it.
  *
  * <p>Markers in the prompt: {@code [len=N]} sets the output length; {@code [crash]} crashes the engine when the prompt
- * is processed, {@code [crash=N]} after N tokens. The protocol's user does not read them.
+ * is processed, {@code [crash=N]} after N tokens; {@code [work=ID]} is recorded. Only the stand-in reads them.
  *
  * <p>Admin: {@code GET /admin/history}, {@code PATCH /admin/options} (members of {@link EngineOptions}), {@code POST
  * /admin/halt} with {@code {"afterMs":n}}, {@code POST /admin/drop-connections}, {@code GET /admin/state}.
@@ -97,7 +97,18 @@
         host.close();
     }
 
+    /** A crashed engine that is embedded runs and records nothing more, as a dead process does. */
+    private void note(String event, JsonObject details) {
+        if (!crashed) {
+            history.add(event, details);
+        }
+    }
+
     private void handle(HttpServerRequest request) {
+        if (crashed) {
+            request.connection().close();
+            return;
+        }
         String path = request.path();
         if (path.startsWith("/v1/generations/")) {
             GenerationId id = new GenerationId(path.substring("/v1/generations/".length()));
@@ -131,7 +142,7 @@
             case "PATCH /admin/options" ->
                 StandinHost.readJson(request, body -> {
                     options = OptionRecords.with(options, body.getMap());
-                    history.add("options", body);
+                    note("options", body);
                     request.response().setStatusCode(204).end();
                 });
             case "POST /admin/drop-connections" -> host.dropConnections();
@@ -164,8 +175,7 @@
         String prompt = Objects.requireNonNull(body.getString("prompt"), "prompt is required");
         String reason = refusal(body);
         if (reason != null) {
-            history.add(
-                    "refused", new JsonObject().put("generation", id.value()).put("reason", reason));
+            note("refused", new JsonObject().put("generation", id.value()).put("reason", reason));
             StandinHost.notRun(request, reason);
             return;
         }
@@ -187,11 +197,12 @@
             return;
         }
         sequences.put(id, sequence);
-        history.add(
+        note(
                 "start",
                 new JsonObject()
                         .put("generation", id.value())
                         .put("organisation", sequence.organisation)
+                        .put("work", sequence.work)
                         .put("model", body.getString("model"))
                         .put("priority", sequence.priority)
                         .put("promptTokens", sequence.promptTokens)
@@ -215,7 +226,7 @@
         Attachment older = sequence.attachment;
         Attachment attachment = new Attachment(++sequence.attachments, request, sequence, from);
         sequence.attachment = attachment;
-        history.add(
+        note(
                 "attach",
                 new JsonObject()
                         .put("generation", sequence.id.value())
@@ -233,7 +244,7 @@
             sequence.attachment = null;
             sequence.detachedAtNanos = System.nanoTime();
             if (!sequence.isFinal()) {
-                history.add(
+                note(
                         "detach",
                         new JsonObject()
                                 .put("generation", sequence.id.value())
@@ -266,7 +277,7 @@
             return;
         }
         if (number < sequence.attachments) {
-            history.add(
+            note(
                     "cancel-refused",
                     new JsonObject().put("generation", id.value()).put("attachment", number));
             StandinHost.error(request, 409, "attachment " + sequence.attachments + " is newer");
@@ -285,8 +296,7 @@
         long fence = body.getLong("fence");
         boolean old = models.isOld(fence);
         boolean refused = old && options.checksFence();
-        history.add(
-                refused ? "order-refused" : "order", body.copy().put("old", old).put("highest", models.highestFence()));
+        note(refused ? "order-refused" : "order", body.copy().put("old", old).put("highest", models.highestFence()));
         if (refused) {
             StandinHost.error(request, 409, "fencing number " + models.highestFence() + " was seen");
             return;
@@ -342,11 +352,12 @@
 
     private void record(Sequence sequence) {
         sequence.endedAtNanos = System.nanoTime();
-        history.add(
+        note(
                 "end",
                 new JsonObject()
                         .put("generation", sequence.id.value())
                         .put("organisation", sequence.organisation)
+                        .put("work", sequence.work)
                         .put("startMs", sequence.startMs)
                         .put("startNanos", sequence.startNanos)
                         .put("firstTokenNanos", sequence.firstTokenNanos)
@@ -364,12 +375,15 @@
     }
 
     private void crash(String cause) {
+        note("crash", new JsonObject().put("cause", cause).put("running", scheduler.running()));
         crashed = true;
-        history.add("crash", new JsonObject().put("cause", cause).put("running", scheduler.running()));
         onCrash.run();
     }
 
     private void sweep() {
+        if (crashed) {
+            return;
+        }
         long now = System.nanoTime();
         reports.add(load(), options.reportLagMs());
         boolean beat = now - heartbeatNanos >= options.heartbeatMs() * 1_000_000;
--- a/tools/src/main/java/org/verbenatally/standin/Sequence.java
+++ b/tools/src/main/java/org/verbenatally/standin/Sequence.java
@@ -10,6 +10,7 @@
 final class Sequence {
     private static final Pattern LENGTH = Pattern.compile("\\[len=(\\d{1,9})]");
     private static final Pattern CRASH = Pattern.compile("\\[crash(?:=(\\d{1,9}))?]");
+    private static final Pattern WORK = Pattern.compile("\\[work=([^\\]\\s]{1,128})]");
     private static final int CHARACTERS_PER_TOKEN = 4;
 
     /** The states of a generation; the last four are final. */
@@ -24,6 +25,7 @@
 
     final GenerationId id;
     final String organisation;
+    final String work;
     final int priority;
     final long arrival;
     final int promptTokens;
@@ -61,6 +63,8 @@
         Matcher length = LENGTH.matcher(prompt);
         int wanted = length.find() ? Math.max(1, Integer.parseInt(length.group(1))) : defaultLength;
         target = Math.min(wanted, maxTokens);
+        Matcher marker = WORK.matcher(prompt);
+        work = marker.find() ? marker.group(1) : null;
         Matcher crash = CRASH.matcher(prompt);
         crashAt = !crash.find() ? Long.MAX_VALUE : crash.group(1) == null ? 0 : Long.parseLong(crash.group(1));
     }
--- a/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
@@ -11,7 +11,8 @@
 
 /**
  * Stand-in for a plain service. It runs every call it gets, also a repeated one, so that the history shows doubled
- * runs. A member {@code ref} of the body is recorded and returned, so that a checker can match runs with orders.
+ * runs. A member {@code work} of the body is recorded and returned, so that a checker can match runs with what callers
+ * sent.
  *
  * <p>Admin: {@code GET /admin/history}, {@code PATCH /admin/options} (members of {@link ServiceOptions}),
  * {@code POST /admin/drop-connections}.
@@ -133,7 +134,7 @@
                     .put("call", call.id())
                     .put("kind", call.kind())
                     .put("organisation", call.request().getHeader("Organisation"))
-                    .put("ref", call.body().getValue("ref"))
+                    .put("work", call.body().getValue("work"))
                     .put("serial", ++serial)
                     .put("startMs", System.currentTimeMillis())
                     .put("startNanos", System.nanoTime());
@@ -161,7 +162,7 @@
                     new JsonObject()
                             .put("call", call.id())
                             .put("kind", call.kind())
-                            .put("ref", run.getValue("ref"))
+                            .put("work", run.getValue("work"))
                             .put("target", options.id())
                             .put("serial", run.getLong("serial")));
         } else if (options.fault().startsWith("reset")) {
--- a/tools/src/test/java/org/verbenatally/standin/EngineStandinTest.java
+++ b/tools/src/test/java/org/verbenatally/standin/EngineStandinTest.java
@@ -1,5 +1,7 @@
 package org.verbenatally.standin;
 
+import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 
@@ -128,11 +130,11 @@
     @Test
     void crashDropsTheConnectionAndTheListener() throws Exception {
         start(Map.of());
-        List<Integer> failures = new java.util.concurrent.CopyOnWriteArrayList<>();
+        List<Integer> failures = new ArrayList<>();
         for (int i = 0; i < 2; i++) {
             try {
                 TestHttp.send(port, "POST", "/v1/generations", request(GenerationId.random(), "[crash]"));
-            } catch (java.io.IOException e) {
+            } catch (IOException e) {
                 failures.add(i);
             }
         }
