--- a/core/src/main/java/org/verbenatally/policy/BudgetedRetryPolicy.java
+++ b/core/src/main/java/org/verbenatally/policy/BudgetedRetryPolicy.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BooleanSupplier;
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
@@ -28,9 +29,16 @@
     private final Map<OrganisationId, RetryBudget> organisations = new ConcurrentHashMap<>();
     private final Map<TargetId, RetryBudget> targets = new ConcurrentHashMap<>();
 
+    private final BooleanSupplier overloaded;
+
+    /** Creates full budgets; there is no retry while {@code overloaded} says so. */
+    BudgetedRetryPolicy(BooleanSupplier overloaded) {
+        this.overloaded = overloaded;
+    }
+
     @Override
     public Optional<Duration> decide(RetryInput input) {
-        if (!mayRunAgain(input)) {
+        if (!mayRunAgain(input) || overloaded.getAsBoolean()) {
             return Optional.empty();
         }
         long ceiling = Math.min(LARGEST_DELAY_MS, FIRST_DELAY_MS << Math.min(10, input.attempts() - 1));
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/policy/ConcurrencyLimit.java
@@ -0,0 +1,102 @@
+package org.verbenatally.policy;
+
+/**
+ * The most requests that a target serves within the token gap target, learned from the gaps seen here, and the share of
+ * key-value memory to keep free, learned from its preemptions. Safe for use by several threads.
+ */
+final class ConcurrencyLimit {
+    /** Gaps needed for a verdict; fewer say too little about a 95 in 100 target. */
+    private static final int MIN_GAPS = 40;
+
+    private static final long WINDOW_NANOS = 500_000_000;
+    /** Share of late gaps above which the limit falls; half of what the service level allows. */
+    private static final double LATE_SHARE = 0.03;
+
+    private static final double DECREASE = 0.92;
+    private static final double INCREASE = 0.5;
+    /** Increase once the target's batch size is known: one request in ten seconds probes for a larger batch. */
+    private static final double PROBE = 0.05;
+    /** Memory share below which a request that waits at the target waits for a place in the batch, not for memory. */
+    private static final double MEMORY_FREE = 0.85;
+
+    private static final int LEAST = 2;
+    private static final double LEAST_MARGIN = 0.04;
+    private static final double LARGEST_MARGIN = 0.30;
+    private static final double MARGIN_STEP = 0.02;
+    private static final double MARGIN_DECAY = 0.995;
+
+    private final double ceiling;
+    private final long gapTargetNanos;
+    private double limit;
+    private double margin = LEAST_MARGIN;
+    private long windowStart;
+    private int gaps;
+    private int late;
+    private boolean preempted;
+    private boolean batchSeen;
+
+    /**
+     * Creates a limit that starts at its ceiling.
+     *
+     * @param ceiling most requests that the configuration allows
+     * @param gapTargetNanos target for the time between two tokens, in nanoseconds
+     */
+    ConcurrencyLimit(int ceiling, long gapTargetNanos) {
+        this.ceiling = ceiling;
+        this.gapTargetNanos = gapTargetNanos;
+        this.limit = ceiling;
+    }
+
+    /** Takes the time between two tokens of one stream. */
+    synchronized void gap(long nanos, long now, double requests) {
+        gaps++;
+        if (nanos > gapTargetNanos) {
+            late++;
+        }
+        if (now - windowStart >= WINDOW_NANOS && gaps >= MIN_GAPS) {
+            adapt(requests);
+            windowStart = now;
+        }
+    }
+
+    private void adapt(double requests) {
+        double share = late / (double) gaps;
+        // Late gaps beside a preemption are a matter of memory, not of batch size; the margin answers them.
+        if (share > LATE_SHARE && !preempted) {
+            limit = Math.max(LEAST, Math.min(limit, Math.max(requests, LEAST)) * DECREASE);
+        } else if (share <= LATE_SHARE / 2 && requests >= 0.8 * limit) {
+            limit = Math.min(ceiling, limit + (batchSeen ? PROBE : INCREASE));
+        }
+        margin = Math.max(LEAST_MARGIN, margin * MARGIN_DECAY);
+        gaps = 0;
+        late = 0;
+        preempted = false;
+    }
+
+    /** Takes the preemptions counted since the last report. */
+    synchronized void preemptions(long count) {
+        if (count > 0) {
+            margin = Math.min(LARGEST_MARGIN, margin + MARGIN_STEP * Math.min(count, 3));
+            preempted = true;
+        }
+    }
+
+    /** Learns the size of the target's batch from requests that wait there although memory is free. */
+    synchronized void observed(ReportedLoad load) {
+        boolean memoryFree = load.kvUsedTokens() < MEMORY_FREE * load.kvCapacityTokens();
+        if (load.waiting() > 0 && load.running() > 0 && memoryFree) {
+            limit = Math.max(LEAST, Math.min(limit, load.running()));
+            batchSeen = true;
+        }
+    }
+
+    /** Returns the most requests over all entries. */
+    synchronized double limit() {
+        return limit;
+    }
+
+    /** Returns the share of key-value memory to keep free. */
+    synchronized double margin() {
+        return margin;
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/policy/HeadroomRouting.java
@@ -0,0 +1,97 @@
+package org.verbenatally.policy;
+
+import java.util.Optional;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.commons.rng.simple.ThreadLocalRandomSource;
+import org.verbenatally.config.Kind;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.policy.TargetSnapshot.Estimate;
+
+/**
+ * Sends a request where the predicted peak of key-value memory and the batch leave the most room. Patient work waits if
+ * its growth would overcommit the memory of every candidate, or if it would take the last places, which are kept for
+ * urgent work.
+ *
+ * @param reserve share of the concurrency limit kept for urgent work
+ * @param noise width of the random part of a score; spreads entries that see the same loads
+ * @param affinity weight of a fully cached prompt against an empty target
+ */
+record HeadroomRouting(double reserve, double noise, double affinity) implements RoutingPolicy {
+    /** Predicted peaks below this share of the memory are never held back; a forecast can be far too high. */
+    private static final double ALWAYS_FREE = 0.5;
+    /** Score of a target that has not reported lately, on top of its known load. */
+    private static final double UNKNOWN = 0.4;
+
+    static final HeadroomRouting DEFAULT = new HeadroomRouting(0.07, 0.05, 0.1);
+
+    @Override
+    public Optional<TargetId> choose(RoutingInput input) {
+        UniformRandomProvider random = ThreadLocalRandomSource.current(RandomSource.XO_RO_SHI_RO_128_PP);
+        TargetSnapshot best = null;
+        double bestScore = Double.POSITIVE_INFINITY;
+        for (TargetSnapshot candidate : input.candidates()) {
+            if (!mayTake(candidate, input)) {
+                continue;
+            }
+            double score = score(candidate, input) + noise * random.nextDouble();
+            if (score < bestScore) {
+                best = candidate;
+                bestScore = score;
+            }
+        }
+        return Optional.ofNullable(best).map(TargetSnapshot::target);
+    }
+
+    private double score(TargetSnapshot target, RoutingInput input) {
+        double memory = memoryLoad(target, input);
+        double requests = (target.estimate().requests() + 1) / target.concurrencyLimit();
+        double cached = input.promptTokens() == 0 ? 0 : target.prefixTokens() / (double) input.promptTokens();
+        // Under memory pressure the engine has evicted the prefix, or must evict it to run this request.
+        double benefit = affinity * cached * Math.max(0, 1 - memory);
+        double unknown = target.report().isEmpty() ? UNKNOWN : 0;
+        return Math.max(memory, requests) + 0.25 * (memory + requests) + unknown - benefit;
+    }
+
+    private boolean mayTake(TargetSnapshot target, RoutingInput input) {
+        double requests = target.estimate().requests();
+        if (target.ownRequests() + target.peerRequests() >= target.maxConcurrent()) {
+            return false;
+        }
+        if (input.kind().urgency() == Kind.Urgency.URGENT) {
+            return requests + 1 <= target.concurrencyLimit();
+        }
+        double free = Math.min(target.concurrencyLimit() * (1 - reserve) - requests, freeMemory(target, input));
+        return target.claim().allows(free);
+    }
+
+    /** Returns how many requests like this one fit into the memory that is free at the predicted peak. */
+    private static double freeMemory(TargetSnapshot target, RoutingInput input) {
+        Estimate estimate = target.estimate();
+        double need = need(estimate, input);
+        if (estimate.kvCapacityTokens() <= 0 || estimate.requests() < 1) {
+            return Double.MAX_VALUE;
+        }
+        double usable = estimate.kvCapacityTokens() * (1 - estimate.margin());
+        double free = usable - estimate.peakTokens();
+        double certain = ALWAYS_FREE * estimate.kvCapacityTokens() - estimate.kvTokens();
+        return Math.max(free, certain) / need;
+    }
+
+    /** Returns the tokens that the request adds to the predicted peak. */
+    private static double need(Estimate estimate, RoutingInput input) {
+        double steps = estimate.stepsToPeak();
+        double grown = steps > 0 ? Math.min(input.expectedTokens(), steps) : input.expectedTokens();
+        return Math.max(1, input.promptTokens() + grown);
+    }
+
+    private static double memoryLoad(TargetSnapshot target, RoutingInput input) {
+        Estimate estimate = target.estimate();
+        if (estimate.kvCapacityTokens() <= 0) {
+            return 0;
+        }
+        double usable = estimate.kvCapacityTokens() * (1 - estimate.margin());
+        return (estimate.peakTokens() + need(estimate, input)) / usable;
+    }
+}
--- a/core/src/main/java/org/verbenatally/policy/SuspectTable.java
+++ b/core/src/main/java/org/verbenatally/policy/SuspectTable.java
@@ -167,15 +167,19 @@
         if (row == null) {
             return true;
         }
-        boolean taken = row.runningOn != null
-                || rows.values().stream().anyMatch(other -> target.equals(other.runningOn))
-                || atPeers.values().stream().anyMatch(map -> map.containsKey(target));
+        boolean taken = row.runningOn != null || runsSuspect(target);
         if (!taken) {
             row.runningOn = target;
         }
         return !taken;
     }
 
+    /** Tells whether a suspect runs on a target, here or at a peer. */
+    synchronized boolean runsSuspect(TargetId target) {
+        return rows.values().stream().anyMatch(row -> target.equals(row.runningOn))
+                || atPeers.values().stream().anyMatch(map -> map.containsKey(target));
+    }
+
     /** Ends the reservation of a suspect. */
     synchronized void release(Fingerprint fingerprint, TargetId target) {
         Row row = rows.get(fingerprint);
--- a/core/src/main/java/org/verbenatally/policy/TargetSnapshot.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetSnapshot.java
@@ -17,21 +17,27 @@
  * @param peerTokens tokens held by those requests, as last heard
  * @param report the latest load report, if one arrived
  * @param sentSinceReport requests sent by this entry after the report was made
- * @param concurrencyLimit most requests that this entry may have in flight there now
+ * @param estimate the load now: the report corrected by what is known to have changed since
+ * @param concurrencyLimit most requests over all entries that the target serves within the token gap target
+ * @param maxConcurrent most requests over all entries that the configuration allows
  * @param prefixTokens tokens of the prompt that the target is believed to have cached
+ * @param claim whether this entry may take a free place there in this interval, if every entry wants one
  */
 public record TargetSnapshot(
         TargetId target,
         FailureDomain failureDomain,
         int ownRequests,
         long ownTokens,
-        long expectedOwnGrowth,
+        double expectedOwnGrowth,
         int peerRequests,
         long peerTokens,
         Optional<LoadReport> report,
         int sentSinceReport,
-        int concurrencyLimit,
-        int prefixTokens) {
+        Estimate estimate,
+        double concurrencyLimit,
+        int maxConcurrent,
+        int prefixTokens,
+        Claim claim) {
 
     /**
      * A checked load report.
@@ -45,4 +51,43 @@
      */
     public record LoadReport(
             long ageMs, int running, int waiting, long kvUsedTokens, long kvCapacityTokens, long preemptions) {}
+
+    /**
+     * The estimated load of a target now.
+     *
+     * @param requests requests in flight over all entries
+     * @param kvTokens tokens held in key-value memory, those of requests that still wait there included
+     * @param peakTokens largest number of tokens that those requests are expected to hold at one time
+     * @param stepsToPeak decoding steps until then
+     * @param kvCapacityTokens size of the key-value memory in tokens; 0 if it is not known
+     * @param margin share of the memory to keep free, from the preemptions seen
+     */
+    public record Estimate(
+            double requests,
+            double kvTokens,
+            double peakTokens,
+            double stepsToPeak,
+            double kvCapacityTokens,
+            double margin) {}
+
+    /**
+     * The part of a target's free places that this entry may take before it hears again what its peers have sent. It
+     * keeps entries with the same view from filling the same place.
+     *
+     * @param entries entries that compete
+     * @param taken places taken by this entry in the present interval
+     * @param draw uniform random number of the present interval, 0 to 1; rounds fractions of a place
+     */
+    public record Claim(int entries, int taken, double draw) {
+
+        /** Tells whether one more place may be taken out of {@code free} places that are left now. */
+        public boolean allows(double free) {
+            return free >= 1 && Math.floor((free + taken) / entries + draw) > taken;
+        }
+    }
+
+    /** Returns the share of the concurrency limit in use. */
+    public double requestLoad() {
+        return estimate.requests() / concurrencyLimit;
+    }
 }
