--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/operator/EntryMetrics.java
@@ -0,0 +1,89 @@
+package org.verbenatally.entry.operator;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+
+/** The metrics of an entry process. Labels are kinds (at most 64), outcomes and steps, never callers or requests. */
+public final class EntryMetrics {
+    private static final Duration[] FIRST_TOKEN_BOUNDS = bounds(60, 120, 240, 480, 960, 1_920, 3_840, 7_680, 30_000);
+    private static final Duration[] GAP_BOUNDS = bounds(13, 27, 54, 108, 216, 432, 1_000, 2_000, 10_000);
+
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    private static Duration[] bounds(long... millis) {
+        Duration[] result = new Duration[millis.length];
+        for (int i = 0; i < millis.length; i++) {
+            result[i] = Duration.ofMillis(millis[i]);
+        }
+        return result;
+    }
+
+    /** Counts an answered request. */
+    public void answered(KindName kind, Outcome outcome) {
+        registry.counter("verbenatally.requests", "kind", kind.value(), "outcome", outcome.text())
+                .increment();
+    }
+
+    /** Counts a refusal or failure by the step at which it arose. */
+    public void failed(Step step) {
+        registry.counter("verbenatally.failures", "step", step.text()).increment();
+    }
+
+    /** Counts an attempt after the first. */
+    public void retried(KindName kind) {
+        registry.counter("verbenatally.retries", "kind", kind.value()).increment();
+    }
+
+    /** Counts a stream that was resumed on a new connection to its engine. */
+    public void resumed(KindName kind, int resumes) {
+        registry.counter("verbenatally.resumes", "kind", kind.value()).increment(resumes);
+    }
+
+    /** Counts the preemptions that an engine reported for one generation. */
+    public void preempted(KindName kind, long preemptions) {
+        registry.counter("verbenatally.preemptions", "kind", kind.value()).increment(preemptions);
+    }
+
+    /** Returns the meters of token delivery for one kind; kept by each stream, so that no token looks them up. */
+    public TokenMeters tokens(KindName kind) {
+        return new TokenMeters(
+                timer("verbenatally.first.token", kind, FIRST_TOKEN_BOUNDS),
+                timer("verbenatally.token.gap", kind, GAP_BOUNDS),
+                registry.counter("verbenatally.stall.seconds", "kind", kind.value()));
+    }
+
+    private Timer timer(String name, KindName kind, Duration... bounds) {
+        return Timer.builder(name)
+                .tag("kind", kind.value())
+                .serviceLevelObjectives(bounds)
+                .register(registry);
+    }
+
+    /**
+     * Meters of token delivery for one kind.
+     *
+     * @param firstToken time from the request to the first token
+     * @param gap time between two tokens
+     * @param stallSeconds sum of the time by which tokens missed their latency target, in seconds
+     */
+    public record TokenMeters(Timer firstToken, Timer gap, Counter stallSeconds) {}
+
+    /** Shows a value that is read on each scrape. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
+    /** Returns all metrics in the Prometheus text format. */
+    public String scrape() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** What operators see of an entry process: status, explanations, metrics and the start of a graceful shutdown. */
+package org.verbenatally.entry.operator;
