Track the entry.target package

Cause: the ignore pattern for build output matched the package directory. Conclusion: the module is complete in the repository.

--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/target/EngineClient.java
@@ -0,0 +1,140 @@
+package org.verbenatally.entry.target;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.json.JsonObject;
+import org.verbenatally.config.Target;
+import org.verbenatally.core.GenerationId;
+import org.verbenatally.core.ModelName;
+import org.verbenatally.core.OrganisationId;
+
+/**
+ * Client of the engines' generation protocol. Each attachment has its own connection: an idle pooled connection may
+ * have gone silent. Methods wait and must run in a virtual-thread task.
+ */
+public final class EngineClient {
+    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
+    private static final int MAX_REFUSAL_BYTES = 4_096;
+    private static final int OK = 200;
+    private static final int NOT_FOUND = 404;
+    private static final int CONFLICT = 409;
+    private static final int UNAVAILABLE = 503;
+
+    private final HttpExchange http;
+
+    /**
+     * A generation to start.
+     *
+     * @param generation its id, new for each attempt
+     * @param model the model that is to run it
+     * @param adapter the adapter on the model, if any
+     * @param prompt the prompt
+     * @param maxTokens longest output, in tokens
+     * @param priority {@code urgent} or {@code patient}
+     * @param organisation whose work it is
+     */
+    public record Start(
+            GenerationId generation,
+            ModelName model,
+            Optional<String> adapter,
+            String prompt,
+            int maxTokens,
+            String priority,
+            OrganisationId organisation) {}
+
+    EngineClient(HttpExchange http) {
+        this.http = Objects.requireNonNull(http, "http");
+    }
+
+    /**
+     * Starts a generation and attaches to it.
+     *
+     * @throws TargetFailure if the engine refused, could not be reached or answered out of protocol
+     */
+    public TokenFeed start(Target target, Start start) throws TargetFailure {
+        JsonObject body = new JsonObject()
+                .put("generation", start.generation().value())
+                .put("model", start.model().value())
+                .put("prompt", start.prompt())
+                .put("maxTokens", start.maxTokens())
+                .put("priority", start.priority())
+                .put("organisation", start.organisation().value());
+        start.adapter().ifPresent(adapter -> body.put("adapter", adapter));
+        HttpClientRequest request = http.connect(target, HttpMethod.POST, "/v1/generations");
+        request.putHeader("Content-Type", "application/json");
+        return attach(target, request, body.toBuffer());
+    }
+
+    /**
+     * Attaches to a running or finished generation at the given offset.
+     *
+     * @throws TargetFailure with cause {@code UNKNOWN_GENERATION} if the engine does not know it
+     */
+    public TokenFeed resume(Target target, GenerationId generation, long from) throws TargetFailure {
+        HttpClientRequest request =
+                http.connect(target, HttpMethod.GET, "/v1/generations/" + generation.value() + "?from=" + from);
+        return attach(target, request, null);
+    }
+
+    private TokenFeed attach(Target target, HttpClientRequest request, Buffer body) throws TargetFailure {
+        HttpClientResponse response = http.send(target, request, body, TokenFeed.SILENCE);
+        if (response.statusCode() != OK) {
+            throw refusal(target, request, response);
+        }
+        try {
+            long attachment = Long.parseLong(Objects.requireNonNullElse(response.getHeader("Attachment"), ""));
+            TokenFeed feed = new TokenFeed(http.vertx(), request, response, attachment);
+            response.resume();
+            return feed;
+        } catch (NumberFormatException e) {
+            request.reset();
+            throw new TargetFailure(
+                    target.id(), TargetFailure.Cause.BAD_ANSWER, "header Attachment must be a number", e);
+        }
+    }
+
+    private TargetFailure refusal(Target target, HttpClientRequest request, HttpClientResponse response)
+            throws TargetFailure {
+        int status = response.statusCode();
+        if (status == NOT_FOUND) {
+            request.reset();
+            return new TargetFailure(
+                    target.id(), TargetFailure.Cause.UNKNOWN_GENERATION, "engine does not know the generation");
+        }
+        Buffer body = http.body(target, request, response, MAX_REFUSAL_BYTES, TokenFeed.SILENCE);
+        return status == UNAVAILABLE
+                ? Refusals.read(target.id(), body)
+                : new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, "unexpected status " + status);
+    }
+
+    /**
+     * Cancels a generation unless a newer attachment exists.
+     *
+     * @return whether the engine took the cancel; {@code false} if another entry has resumed the generation since
+     * @throws TargetFailure if the engine could not be reached or answered out of protocol
+     */
+    public boolean cancel(Target target, GenerationId generation, long attachment) throws TargetFailure {
+        HttpClientRequest request = http.connect(
+                target, HttpMethod.DELETE, "/v1/generations/" + generation.value() + "?attachment=" + attachment);
+        HttpClientResponse response = http.send(target, request, null, CANCEL_TIMEOUT);
+        int status = response.statusCode();
+        request.reset();
+        if (status == CONFLICT) {
+            return false;
+        }
+        if (status == NOT_FOUND) {
+            throw new TargetFailure(
+                    target.id(), TargetFailure.Cause.UNKNOWN_GENERATION, "engine does not know the generation");
+        }
+        if (status / 100 != 2) {
+            throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, "unexpected status " + status);
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/target/Refusals.java
@@ -0,0 +1,31 @@
+package org.verbenatally.entry.target;
+
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonObject;
+import org.verbenatally.core.TargetId;
+
+/** Reads the body of a 503 answer, with which a target says that it did not run a request. */
+final class Refusals {
+    private Refusals() {}
+
+    /** Returns the refusal; an unknown reason proves nothing and counts as a bad answer. */
+    static TargetFailure read(TargetId target, Buffer body) {
+        String reason;
+        try {
+            reason = String.valueOf(new JsonObject(body).getValue("reason"));
+        } catch (DecodeException e) {
+            reason = "";
+        }
+        TargetFailure.Cause cause =
+                switch (reason) {
+                    case "leaving" -> TargetFailure.Cause.LEAVING;
+                    case "full" -> TargetFailure.Cause.FULL;
+                    case "model-not-loaded" -> TargetFailure.Cause.MODEL_NOT_LOADED;
+                    default -> TargetFailure.Cause.BAD_ANSWER;
+                };
+        return cause == TargetFailure.Cause.BAD_ANSWER
+                ? new TargetFailure(target, cause, "status 503 without a known reason")
+                : new TargetFailure(target, cause, "refused: " + reason);
+    }
+}
