--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -14,6 +13,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.json.JsonObject;
+import org.verbenatally.config.Kind;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.GenerationId;
 import org.verbenatally.core.Outcome;
@@ -41,6 +41,9 @@
     /** Time for the first read of a stream whose address was given out with status 202. */
     private static final Duration FIRST_READ = Duration.ofSeconds(25);
 
+    /** Patient work has priority 0. */
+    private static final int URGENT_PRIORITY = 10;
+
     private static final int CONFLICT = 409;
     private static final int BAD_GATEWAY = 502;
     private static final int UNPROCESSABLE = 422;
@@ -281,7 +284,7 @@
                 work.kind().adapter(),
                 work.prompt(),
                 work.maxTokens(),
-                work.kind().urgency().name().toLowerCase(Locale.ROOT),
+                work.kind().urgency() == Kind.Urgency.URGENT ? URGENT_PRIORITY : 0,
                 work.organisation().id());
         try {
             return parts.clients().engines().start(target, start);
--- a/entry/src/main/java/org/verbenatally/entry/target/EngineClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/EngineClient.java
@@ -36,7 +36,7 @@
      * @param adapter the adapter on the model, if any
      * @param prompt the prompt
      * @param maxTokens longest output, in tokens
-     * @param priority {@code urgent} or {@code patient}
+     * @param priority higher numbers go first
      * @param organisation whose work it is
      */
     public record Start(
@@ -45,7 +45,7 @@
             Optional<String> adapter,
             String prompt,
             int maxTokens,
-            String priority,
+            int priority,
             OrganisationId organisation) {}
 
     EngineClient(HttpExchange http) {
