Add the process harness and the demo

Cause: The demo and the fault cases need a deployment of real size as separate processes. Before / after: no figure; the demo cannot run until the entry process is there. Conclusion: compiles, not yet exercised.

--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/faults/DemoMain.java
@@ -0,0 +1,128 @@
+package org.verbenatally.faults;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.verbenatally.config.TargetType;
+import org.verbenatally.history.History;
+import org.verbenatally.history.HistoryChecker;
+import org.verbenatally.history.HistoryReport;
+import org.verbenatally.history.Rule;
+
+/**
+ * Runs three entries in front of a deployment's real number of stand-in targets, sends mixed work, and checks every
+ * answer. The last line is a JSON object with the figures. Status 0: nothing was lost, doubled or mixed; 1: something
+ * was; 2: wrong arguments.
+ */
+public final class DemoMain {
+    private static final String USAGE = "usage: demo [--deployment abay|aarhus] [--requests N] [--seed S]";
+    private static final int ENTRIES = 3;
+    private static final int PATIENCE_MS = 30_000;
+    private static final int MIN_PER_SECOND = 25;
+    /** Sending takes at most this long, so that the whole demo stays under a minute. */
+    private static final int SEND_SECONDS = 20;
+
+    private DemoMain() {}
+
+    /** Runs the demo. */
+    public static void main(String[] args) {
+        try {
+            CommandLine line = new DefaultParser().parse(options(), args);
+            if (line.hasOption("help")) {
+                System.out.println(USAGE);
+                return;
+            }
+            boolean clean = run(
+                    line.getOptionValue("deployment", "abay"),
+                    Integer.parseInt(line.getOptionValue("requests", "300")),
+                    Long.parseLong(line.getOptionValue("seed", "1")));
+            System.exit(clean ? 0 : 1);
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println("demo: " + e.getMessage());
+            System.err.println(USAGE);
+            System.exit(2);
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(Option.builder().longOpt("help").get());
+        for (String name : new String[] {"deployment", "requests", "seed"}) {
+            options.addOption(Option.builder().longOpt(name).hasArg().get());
+        }
+        return options;
+    }
+
+    private static boolean run(String deployment, int requests, long seed) {
+        System.out.println("demo: starting " + deployment + " with " + ENTRIES + " entries, seed " + seed);
+        try (Cluster cluster = Cluster.start(ClusterOptions.of(deployment, ENTRIES, seed))) {
+            Workload workload = new Workload(cluster, seed, PATIENCE_MS);
+            Thread progress = Thread.ofVirtual().start(() -> report(workload, requests));
+            workload.run(requests, Math.max(MIN_PER_SECOND, (double) requests / SEND_SECONDS));
+            progress.interrupt();
+            long preemptions = preemptions(cluster);
+            History history = cluster.collect();
+            HistoryReport report = new HistoryChecker().check(history);
+            report.violations().forEach(violation -> System.out.println("demo: " + violation));
+            System.out.println(summary(cluster, history, report, requests, preemptions));
+            return report.held() && report.counts().done() == requests;
+        }
+    }
+
+    private static void report(Workload workload, int requests) {
+        try {
+            while (workload.finished() < requests) {
+                Thread.sleep(2_000);
+                System.out.println("demo: " + workload.finished() + " of " + requests + " requests finished");
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static long preemptions(Cluster cluster) {
+        long sum = 0;
+        for (var target : cluster.deployment().targets().values()) {
+            if (target.type() == TargetType.ENGINE) {
+                sum += json(cluster.targets()
+                                .admin(target.id().toString(), "GET", "/admin/state", java.util.Map.of(), null))
+                        .path("preemptions")
+                        .asLong();
+            }
+        }
+        return sum;
+    }
+
+    private static JsonNode json(String text) {
+        try {
+            return new ObjectMapper().readTree(text);
+        } catch (IOException e) {
+            throw new UncheckedIOException("malformed answer of a stand-in", e);
+        }
+    }
+
+    private static ObjectNode summary(
+            Cluster cluster, History history, HistoryReport report, int requests, long preemptions) {
+        HistoryReport.Counts counts = report.counts();
+        var levels = cluster.deployment().levels();
+        ObjectNode summary = new ObjectMapper()
+                .createObjectNode()
+                .put("requests", requests)
+                .put("whole", counts.done())
+                .put("failed", requests - counts.done() - counts.unknown())
+                .put("unknown", counts.unknown())
+                .put("duplicated", report.broken(Rule.AT_MOST_ONCE))
+                .put("reordered", report.broken(Rule.TOKENS_ONCE))
+                .put("mixed", report.broken(Rule.ANSWERS_MATCH));
+        summary.setAll(new Timings(history, levels.firstTokenMs(), levels.tokenGapMs()).json());
+        return summary.put("preemptions", preemptions);
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/faults/EntryNode.java
@@ -0,0 +1,89 @@
+package org.verbenatally.faults;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.verbenatally.core.Address;
+
+/** One entry instance of a cluster: its settings, its present process and its addresses. */
+final class EntryNode {
+    private static final String MAIN = "org.verbenatally.entry.EntryMain";
+
+    private final String name;
+    private final Path folder;
+    private final ObjectNode settings;
+    private volatile ChildProcess process;
+    private volatile Address callers;
+    private volatile Address operator;
+    private volatile Address peers;
+
+    EntryNode(String name, Path folder, ObjectNode settings) {
+        this.name = name;
+        this.folder = folder;
+        this.settings = settings;
+    }
+
+    /** Starts the process without waiting for its addresses; after a first run it gets the same ports again. */
+    void start() {
+        if (callers != null) {
+            ((ObjectNode) settings.path("callers")).put("port", callers.port());
+            ((ObjectNode) settings.path("operator")).put("port", operator.port());
+            ((ObjectNode) settings.path("peers")).put("port", peers.port());
+        }
+        Path file = folder.resolve(name + ".settings.json");
+        try {
+            Files.writeString(file, settings.toPrettyString());
+        } catch (IOException e) {
+            throw new UncheckedIOException("cannot write " + file, e);
+        }
+        process = ChildProcess.start(name, folder, MAIN, List.of("--settings", file.toString()));
+    }
+
+    /** Waits until the process has printed where it listens. */
+    void awaitAddresses() {
+        String line = process.awaitLine("listening").getLast();
+        for (String part : line.split(" ")) {
+            int equals = part.indexOf('=');
+            String value = part.substring(equals + 1);
+            switch (equals < 0 ? part : part.substring(0, equals)) {
+                case "callers" -> callers = Address.parse(value);
+                case "operator" -> operator = Address.parse(value);
+                case "peers" -> peers = Address.parse(value);
+                default -> {
+                    // The first word, or an address that is of no interest here.
+                }
+            }
+        }
+        if (callers == null || operator == null || peers == null) {
+            throw new IllegalStateException(name + " printed an unexpected line: " + line);
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    ChildProcess process() {
+        return process;
+    }
+
+    Address callers() {
+        return callers;
+    }
+
+    Address operator() {
+        return operator;
+    }
+
+    Address peers() {
+        return peers;
+    }
+
+    boolean isReady() {
+        return process.isAlive() && Admin.status(operator, "/ready") == 200;
+    }
+}
