--- a/tools/src/main/java/org/verbenatally/faults/Cluster.java
+++ b/tools/src/main/java/org/verbenatally/faults/Cluster.java
@@ -40,6 +40,8 @@
             JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
     private static final Duration START_LIMIT = Duration.ofSeconds(60);
     private static final int STATUS_PERIOD_MS = 200;
+    /** Distinguishes the relay in front of an entry's peer port from the one in front of its caller port. */
+    private static final String PEER = "peer:";
 
     private final History history = new History();
     private final ClusterOptions options;
@@ -112,7 +114,7 @@
     }
 
     private Address via(String name, Address real) {
-        return links == null ? real : relays.computeIfAbsent(name, each -> links.add(each, real));
+        return links == null ? real : relays.computeIfAbsent(name, each -> links.add(each.replace(PEER, ""), real));
     }
 
     /** Starts the entries and waits until each is ready. */
@@ -157,7 +159,7 @@
     }
 
     private Address peer(int entry, int port) {
-        return via("peer:entry-" + (entry + 1), new Address("127.0.0.1", port));
+        return via(PEER + "entry-" + (entry + 1), new Address("127.0.0.1", port));
     }
 
     private static List<Integer> freePorts(int count) {
@@ -183,7 +185,7 @@
                 .put("role", "entry")
                 .put("host", entry.callers().host())
                 .put("port", entry.callers().port())
-                .put("peerPort", via("peer:" + entry.name(), entry.peers()).port())
+                .put("peerPort", via(PEER + entry.name(), entry.peers()).port())
                 .put("failureDomain", "any")
                 .put("state", "live");
         targets.admin(Targets.PLATFORM, "PUT", "/admin/instances/" + entry.name(), Map.of(), instance.toString());
