--- a/tools/src/main/java/org/verbenatally/faults/Cluster.java
+++ b/tools/src/main/java/org/verbenatally/faults/Cluster.java
@@ -191,6 +191,18 @@
         targets.admin(Targets.PLATFORM, "PUT", "/admin/instances/" + entry.name(), Map.of(), instance.toString());
     }
 
+    /** Puts a target on the platform's list of instances. */
+    void listTarget(String id, String state) {
+        Address address = targets.address(id);
+        ObjectNode instance = MAPPER.createObjectNode()
+                .put("role", "engine")
+                .put("host", address.host())
+                .put("port", address.port())
+                .put("failureDomain", "any")
+                .put("state", state);
+        targets.admin(Targets.PLATFORM, "PUT", "/admin/instances/" + id, Map.of(), instance.toString());
+    }
+
     /** Tells whether each entry sees all others as live. */
     boolean meshed() {
         return entries.stream().allMatch(entry -> status(entry).path("members").size() >= entries.size());
@@ -211,6 +223,14 @@
         return version;
     }
 
+    /** Publishes another document under the present version, as a second operator does. */
+    void republish(Consumer<ObjectNode> change) {
+        ObjectNode other = document.deepCopy();
+        change.accept(other);
+        fault("version-conflict", Targets.PLATFORM);
+        publishRaw(other.path("version").asLong(), other.toString());
+    }
+
     /** Publishes any text under a version. */
     void publishRaw(long version, String text) {
         targets.admin(Targets.PLATFORM, "PUT", "/admin/config", Map.of("Config-Version", Long.toString(version)), text);
