--- a/tools/src/main/java/org/verbenatally/faults/FaultsMain.java
+++ b/tools/src/main/java/org/verbenatally/faults/FaultsMain.java
@@ -14,7 +14,6 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
-
 import org.verbenatally.history.History;
 import org.verbenatally.history.HistoryChecker;
 import org.verbenatally.history.HistoryReport;
@@ -141,10 +140,15 @@
             StringBuilder line = new StringBuilder(faultCase.name())
                     .append(held ? " held " : " broken ")
                     .append(report.counts().summary());
-            trial.figures().forEach((name, value) -> line.append(' ').append(name).append('=').append(value));
+            trial.figures()
+                    .forEach((name, value) ->
+                            line.append(' ').append(name).append('=').append(value));
             line.append(" took-s=").append((System.nanoTime() - start) / 1_000_000_000);
-            report.violations().stream().limit(5).forEach(each -> line.append("\n    ").append(each));
-            trial.failures().forEach(each -> line.append("\n    expected otherwise: ").append(each));
+            report.violations().stream()
+                    .limit(5)
+                    .forEach(each -> line.append("\n    ").append(each));
+            trial.failures()
+                    .forEach(each -> line.append("\n    expected otherwise: ").append(each));
             if (keep || !held) {
                 Path file = cluster.folder().resolve("history.jsonl");
                 history.write(file);
@@ -152,8 +156,10 @@
             }
             return new Verdict(faultCase.name(), held, line.toString());
         } catch (RuntimeException e) {
-            String cause = Stream.of(e.getStackTrace()).limit(3).map(Object::toString).collect(Collectors.joining("; "));
-            return new Verdict(faultCase.name(), false, faultCase.name() + " broken not started: " + e + " at " + cause);
+            String cause =
+                    Stream.of(e.getStackTrace()).limit(3).map(Object::toString).collect(Collectors.joining("; "));
+            return new Verdict(
+                    faultCase.name(), false, faultCase.name() + " broken not started: " + e + " at " + cause);
         }
     }
 }
--- a/tools/src/main/java/org/verbenatally/faults/PairCases.java
+++ b/tools/src/main/java/org/verbenatally/faults/PairCases.java
@@ -9,7 +9,6 @@
 
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
-
 import org.verbenatally.history.HistoryRecord.Answer;
 
 /** Cases in which two faults hit a working cluster at random moments. Only the invariants are judged. */
@@ -56,10 +55,12 @@
                 Cluster.sleep(3_000);
                 trial.cluster().platformMode("up", 0);
             }),
-            new Injection("publish", trial -> IntStream.range(0, 5).forEach(i -> {
-                trial.cluster().publish(document -> document.put("entryCount", 10 + i));
-                Cluster.sleep(400);
-            })),
+            new Injection(
+                    "publish",
+                    trial -> IntStream.range(0, 5).forEach(i -> {
+                        trial.cluster().publish(document -> document.put("entryCount", 10 + i));
+                        Cluster.sleep(400);
+                    })),
             new Injection("silence", trial -> {
                 trial.cluster().fault("silence", "all open connections of entry-1");
                 trial.cluster().links().silence((from, to) -> from.equals("entry-1") || to.equals("entry-1"));
@@ -97,8 +98,9 @@
     /** Returns the pair with a name such as {@code kill-entry+publish}. */
     static Optional<FaultCase> named(String name) {
         String[] parts = name.split("\\+");
-        return parts.length != 2 ? Optional.empty() : find(parts[0]).flatMap(first -> find(parts[1]).map(second ->
-                pair(first, second)));
+        return parts.length != 2
+                ? Optional.empty()
+                : find(parts[0]).flatMap(first -> find(parts[1]).map(second -> pair(first, second)));
     }
 
     private static Optional<Injection> find(String name) {
