--- a/tools/src/main/java/org/verbenatally/faults/Cluster.java
+++ b/tools/src/main/java/org/verbenatally/faults/Cluster.java
@@ -205,7 +205,9 @@
 
     /** Tells whether each entry sees all others as live. */
     boolean meshed() {
-        return entries.stream().allMatch(entry -> status(entry).path("members").size() >= entries.size());
+        return entries.stream()
+                .map(entry -> status(entry).path("members"))
+                .allMatch(members -> members.isMissingNode() || members.size() >= entries.size());
     }
 
     /** Changes the deployment document and publishes it under the next version. */
--- a/tools/src/main/java/org/verbenatally/faults/EntryNode.java
+++ b/tools/src/main/java/org/verbenatally/faults/EntryNode.java
@@ -19,12 +19,13 @@
     private volatile ChildProcess process;
     private volatile Address callers;
     private volatile Address operator;
-    private volatile Address peers;
+    private final Address peers;
 
     EntryNode(String name, Path folder, ObjectNode settings) {
         this.name = name;
         this.folder = folder;
         this.settings = settings;
+        peers = new Address("127.0.0.1", settings.path("peers").path("port").asInt());
     }
 
     /** Starts the process without waiting for its addresses; after a first run it gets the same ports again. */
@@ -32,7 +33,6 @@
         if (callers != null) {
             ((ObjectNode) settings.path("callers")).put("port", callers.port());
             ((ObjectNode) settings.path("operator")).put("port", operator.port());
-            ((ObjectNode) settings.path("peers")).put("port", peers.port());
         }
         Path file = folder.resolve(name + ".settings.json");
         try {
@@ -52,13 +52,12 @@
             switch (equals < 0 ? part : part.substring(0, equals)) {
                 case "callers" -> callers = Address.parse(value);
                 case "operator" -> operator = Address.parse(value);
-                case "peers" -> peers = Address.parse(value);
                 default -> {
                     // The first word, or an address that is of no interest here.
                 }
             }
         }
-        if (callers == null || operator == null || peers == null) {
+        if (callers == null || operator == null) {
             throw new IllegalStateException(name + " printed an unexpected line: " + line);
         }
     }
