Add the load tool

Cause: experiments need open-loop load whose latency counts from the due time. Change: workloads of both deployments, seeded arrival plan with bursts, LoadRun, CSV, JSON, plots and comparison.

--- a/tools/src/main/java/org/verbenatally/load/Call.java
+++ b/tools/src/main/java/org/verbenatally/load/Call.java
@@ -34,6 +34,7 @@
     private String stream;
     private String lastEventId;
     private String key;
+    private long namedTokens = -1;
 
     Call(CallerClient client, CallRequest request, int entryIndex) {
         this.client = client;
@@ -136,7 +137,7 @@
                 reply.status(),
                 record.type(),
                 record.generation(),
-                request.stream() && reply.outcome() == Outcome.DONE ? record.tokens() : -1,
+                namedTokens,
                 record.text()));
         return reply;
     }
--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/load/LoadMain.java
@@ -0,0 +1,159 @@
+package org.verbenatally.load;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+import io.vertx.core.json.DecodeException;
+import io.vertx.core.json.JsonArray;
+import io.vertx.core.json.JsonObject;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.verbenatally.core.Address;
+import org.verbenatally.history.History;
+import org.verbenatally.standin.EngineOptions;
+
+/** Sends load to a fleet and prints a summary. Status 1: the run failed; status 2: wrong arguments. */
+public final class LoadMain {
+    private static final int SUMMARY_ONLY = 2;
+
+    private LoadMain() {}
+
+    /** Runs the experiment that the arguments describe, or compares two summaries. */
+    public static void main(String[] args) {
+        Options options = options();
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                HelpFormatter.builder().get().printHelp("verbenatally-load", "", options, "", true);
+            } else if (line.hasOption("compare")) {
+                compare(line.getOptionValues("compare"));
+            } else {
+                run(line);
+            }
+            System.exit(0);
+        } catch (ParseException | IllegalArgumentException | DecodeException e) {
+            System.err.println("load: " + e.getMessage());
+            System.exit(2);
+        } catch (IOException | UncheckedIOException | IllegalStateException e) {
+            System.err.println("load: " + e.getMessage());
+            System.exit(1);
+        }
+    }
+
+    private static Options options() {
+        Options options = new Options();
+        options.addOption(Option.builder().longOpt("help").desc("print this").get());
+        options.addOption(Option.builder()
+                .longOpt("compare")
+                .numberOfArgs(SUMMARY_ONLY)
+                .desc("print the ratios of two summary files, the baseline first")
+                .get());
+        add(options, "deployment", "abay or aarhus (default abay)");
+        add(options, "entries", "host:port of the entries, separated by commas");
+        add(options, "engines", "host:port of the engines, separated by commas; read for preemptions");
+        add(
+                options,
+                "callers",
+                "JSON file: [{\"organisation\",\"credential\",\"weight\"}] (default: ten, three large)");
+        add(options, "rate", "mean requests a second");
+        add(options, "load", "instead of --rate: part of the capacity of the engines, which have default options");
+        add(options, "seconds", "length of the arrivals (default 70)");
+        add(options, "warmup", "seconds that are not measured (default 10)");
+        add(options, "drain", "longest wait for open requests, in seconds (default 60)");
+        add(options, "seed", "seed (default 1)");
+        add(options, "length-scale", "factor on output lengths and prompt prefixes (default 1)");
+        add(options, "burst-factor", "factor on the rate during bursts (default 2; 1: none)");
+        add(options, "burst-seconds", "length of a burst (default 4)");
+        add(options, "burst-every", "seconds from one burst to the next (default 20)");
+        add(options, "burst-organisation", "the only organisation that bursts (default: all)");
+        add(options, "out", "directory for requests.csv, summary.json and plots (default: summary on stdout only)");
+        add(options, "history", "file for the callers' history");
+        return options;
+    }
+
+    private static void add(Options options, String name, String description) {
+        options.addOption(
+                Option.builder().longOpt(name).hasArg().desc(description).get());
+    }
+
+    private static void compare(String[] files) throws IOException {
+        System.out.print(SummaryComparison.table(
+                new JsonObject(Files.readString(Path.of(files[0]))),
+                new JsonObject(Files.readString(Path.of(files[1])))));
+    }
+
+    private static void run(CommandLine line) throws ParseException, IOException {
+        History history = line.hasOption("history") ? new History() : null;
+        LoadOptions options = loadOptions(line);
+        LoadResult result = history == null ? new LoadRun(options).run() : new LoadRun(options, history::add).run();
+        System.out.println(result.summary().encodePrettily());
+        if (line.hasOption("out")) {
+            result.write(Path.of(line.getOptionValue("out")));
+        }
+        if (history != null) {
+            history.write(Path.of(line.getOptionValue("history")));
+        }
+    }
+
+    private static LoadOptions loadOptions(CommandLine line) throws ParseException, IOException {
+        Workload workload = Workload.of(
+                line.getOptionValue("deployment", "abay"),
+                Double.parseDouble(line.getOptionValue("length-scale", "1")));
+        List<Address> engines = addresses(line.getOptionValue("engines", ""));
+        double rate;
+        if (line.hasOption("rate")) {
+            rate = Double.parseDouble(line.getOptionValue("rate"));
+        } else if (line.hasOption("load") && !engines.isEmpty()) {
+            rate = Double.parseDouble(line.getOptionValue("load"))
+                    * workload.capacity(EngineOptions.defaults("any"), engines.size());
+        } else {
+            throw new ParseException("--rate, or --load with --engines, is required");
+        }
+        List<Caller> callers = line.hasOption("callers")
+                ? callers(Files.readString(Path.of(line.getOptionValue("callers"))))
+                : Caller.tenWithThreeLarge();
+        return new LoadOptions(
+                workload,
+                callers,
+                addresses(line.getOptionValue("entries", "")),
+                engines,
+                rate,
+                Integer.parseInt(line.getOptionValue("seconds", "70")),
+                Integer.parseInt(line.getOptionValue("warmup", "10")),
+                Integer.parseInt(line.getOptionValue("drain", "60")),
+                Long.parseLong(line.getOptionValue("seed", "1")),
+                Double.parseDouble(line.getOptionValue("burst-factor", "2")),
+                Double.parseDouble(line.getOptionValue("burst-seconds", "4")),
+                Double.parseDouble(line.getOptionValue("burst-every", "20")),
+                line.getOptionValue("burst-organisation", ""),
+                true);
+    }
+
+    private static List<Address> addresses(String text) {
+        List<Address> addresses = new ArrayList<>();
+        for (String address : text.split(",")) {
+            if (!address.isBlank()) {
+                addresses.add(Address.parse(address.strip()));
+            }
+        }
+        return addresses;
+    }
+
+    private static List<Caller> callers(String json) {
+        List<Caller> callers = new ArrayList<>();
+        for (Object each : new JsonArray(json)) {
+            JsonObject caller = (JsonObject) each;
+            callers.add(new Caller(
+                    caller.getString("organisation"), caller.getString("credential"), caller.getDouble("weight", 1.0)));
+        }
+        return callers;
+    }
+}
--- a/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
@@ -148,23 +148,22 @@
         running--;
         boolean faulty = options.fault().endsWith("-after-run") && takeFault();
         boolean gone = call.request().response().closed();
+        JsonObject answer = new JsonObject()
+                .put("call", call.id())
+                .put("kind", call.kind())
+                .put("work", run.getValue("work"))
+                .put("target", options.id())
+                .put("serial", run.getLong("serial"));
         String ended = faulty ? options.fault() : gone ? "caller-gone" : "done";
         history.add(
                 "end",
                 run.copy()
                         .put("endMs", System.currentTimeMillis())
                         .put("endNanos", System.nanoTime())
-                        .put("ended", ended));
+                        .put("ended", ended)
+                        .put("answer", answer.encode()));
         if (!faulty) {
-            StandinHost.json(
-                    call.request(),
-                    200,
-                    new JsonObject()
-                            .put("call", call.id())
-                            .put("kind", call.kind())
-                            .put("work", run.getValue("work"))
-                            .put("target", options.id())
-                            .put("serial", run.getLong("serial")));
+            StandinHost.json(call.request(), 200, answer);
         } else if (options.fault().startsWith("reset")) {
             call.request().connection().close();
         }
--- a/tools/src/main/java/org/verbenatally/standin/StandinMain.java
+++ b/tools/src/main/java/org/verbenatally/standin/StandinMain.java
@@ -7,6 +7,9 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.apache.commons.cli.CommandLine;
@@ -92,7 +95,7 @@
         int port = platform.start();
         if (line.hasOption("config")) {
             String document = read(line.getOptionValue("config"));
-            platform.publish(new JsonObject(document).getLong("version"), document);
+            platform.publish(version(document), document);
         }
         if (line.hasOption("instances")) {
             for (Object instance : new JsonArray(read(line.getOptionValue("instances")))) {
@@ -103,6 +106,20 @@
         return port;
     }
 
+    /** Deployment documents are JSON with comments. */
+    private static long version(String document) {
+        try {
+            return JsonMapper.builder()
+                    .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+                    .build()
+                    .readTree(document)
+                    .path("version")
+                    .asLong();
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("the document is not JSON: " + e.getOriginalMessage(), e);
+        }
+    }
+
     private static int relay(CommandLine line) throws ParseException {
         if (!line.hasOption("target")) {
             throw new ParseException("relay needs --target HOST:PORT");
