Take callers and engines of a load run from a deployment document

Cause: the examples fix organisations and credentials; runs against them need no second list. Conclusion: mvn -o -pl tools -am verify passes.

--- a/tools/src/main/java/org/verbenatally/load/Caller.java
+++ b/tools/src/main/java/org/verbenatally/load/Caller.java
@@ -1,8 +1,14 @@
 package org.verbenatally.load;
 
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 
+import org.verbenatally.config.Deployment;
+
 /**
  * An organisation that sends load.
  *
@@ -21,6 +27,34 @@
         }
     }
 
+    /**
+     * Returns the organisations of a deployment in order of their ids, weighted by their shares. The credential of each
+     * is its id with {@code -credential} appended, as in the examples.
+     *
+     * @throws IllegalArgumentException if an organisation has another credential
+     */
+    public static List<Caller> of(Deployment deployment) {
+        return deployment.organisations().values().stream()
+                .sorted(Comparator.comparing(organisation -> organisation.id().value()))
+                .map(organisation -> {
+                    String id = organisation.id().value();
+                    Caller caller = new Caller(id, id + "-credential", organisation.share());
+                    if (!organisation.matches(sha256(caller.credential()))) {
+                        throw new IllegalArgumentException("the credential of " + id + " is not known");
+                    }
+                    return caller;
+                })
+                .toList();
+    }
+
+    private static byte[] sha256(String text) {
+        try {
+            return MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is missing", e);
+        }
+    }
+
     /** Returns {@code org-1} to {@code org-10}: three large ones send 65% of the load, the others 5% each. */
     public static List<Caller> tenWithThreeLarge() {
         List<Caller> callers = new ArrayList<>();
--- a/tools/src/main/java/org/verbenatally/load/LoadMain.java
+++ b/tools/src/main/java/org/verbenatally/load/LoadMain.java
@@ -5,7 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
@@ -16,9 +18,15 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
+import org.verbenatally.config.ConfigException;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
+import org.verbenatally.config.Target;
+import org.verbenatally.config.TargetType;
 import org.verbenatally.core.Address;
 import org.verbenatally.history.History;
 import org.verbenatally.standin.EngineOptions;
+import org.verbenatally.standin.OptionRecords;
 
 /** Sends load to a fleet and prints a summary. Status 1: the run failed; status 2: wrong arguments. */
 public final class LoadMain {
@@ -63,8 +71,10 @@
                 options,
                 "callers",
                 "JSON file: [{\"organisation\",\"credential\",\"weight\"}] (default: ten, three large)");
+        add(options, "config", "deployment document: its organisations are the callers, its engines are read");
+        add(options, "engine", "NAME=VALUE of an engine option, separated by commas, for --load");
         add(options, "rate", "mean requests a second");
-        add(options, "load", "instead of --rate: part of the capacity of the engines, which have default options");
+        add(options, "load", "instead of --rate: part of the capacity of the engines");
         add(options, "seconds", "length of the arrivals (default 70)");
         add(options, "warmup", "seconds that are not measured (default 10)");
         add(options, "drain", "longest wait for open requests, in seconds (default 60)");
@@ -108,18 +118,16 @@
                 line.getOptionValue("deployment", "abay"),
                 Double.parseDouble(line.getOptionValue("length-scale", "1")));
         List<Address> engines = addresses(line.getOptionValue("engines", ""));
-        double rate;
-        if (line.hasOption("rate")) {
-            rate = Double.parseDouble(line.getOptionValue("rate"));
-        } else if (line.hasOption("load") && !engines.isEmpty()) {
-            rate = Double.parseDouble(line.getOptionValue("load"))
-                    * workload.capacity(EngineOptions.defaults("any"), engines.size());
-        } else {
-            throw new ParseException("--rate, or --load with --engines, is required");
+        List<Caller> callers = Caller.tenWithThreeLarge();
+        if (line.hasOption("config")) {
+            Deployment deployment = deployment(line.getOptionValue("config"));
+            callers = Caller.of(deployment);
+            engines = engines.isEmpty() ? engines(deployment) : engines;
+        }
+        if (line.hasOption("callers")) {
+            callers = callers(Files.readString(Path.of(line.getOptionValue("callers"))));
         }
-        List<Caller> callers = line.hasOption("callers")
-                ? callers(Files.readString(Path.of(line.getOptionValue("callers"))))
-                : Caller.tenWithThreeLarge();
+        double rate = rate(line, workload, engines.size());
         return new LoadOptions(
                 workload,
                 callers,
@@ -137,6 +145,39 @@
                 true);
     }
 
+    private static double rate(CommandLine line, Workload workload, int engines) throws ParseException {
+        if (line.hasOption("rate")) {
+            return Double.parseDouble(line.getOptionValue("rate"));
+        }
+        if (!line.hasOption("load") || engines == 0) {
+            throw new ParseException("--rate, or --load with --engines or --config, is required");
+        }
+        Map<String, String> changes = new LinkedHashMap<>();
+        for (String pair : line.getOptionValue("engine", "").split(",")) {
+            int equals = pair.indexOf('=');
+            if (equals > 0) {
+                changes.put(pair.substring(0, equals), pair.substring(equals + 1));
+            }
+        }
+        EngineOptions engine = OptionRecords.with(EngineOptions.defaults("any"), changes);
+        return Double.parseDouble(line.getOptionValue("load")) * workload.capacity(engine, engines);
+    }
+
+    private static Deployment deployment(String file) throws IOException {
+        try {
+            return ConfigReader.read(file, Files.readAllBytes(Path.of(file)));
+        } catch (ConfigException e) {
+            throw new IllegalArgumentException(e.getMessage(), e);
+        }
+    }
+
+    private static List<Address> engines(Deployment deployment) {
+        return deployment.targets().values().stream()
+                .filter(target -> target.type() == TargetType.ENGINE)
+                .map(Target::address)
+                .toList();
+    }
+
     private static List<Address> addresses(String text) {
         List<Address> addresses = new ArrayList<>();
         for (String address : text.split(",")) {
