Connect the entry to its peers; poll loads; graceful shutdown

Cause: the entry ran alone and learned nothing of its targets. Change: peer network, load polling with checks of every field, leaving targets, crash detection by refused connections or a new incarnation, shutdown steps with key transfer, status and error budget for operators.

--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -1,8 +1,10 @@
 package org.verbenatally.entry;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -13,19 +15,19 @@
 import io.vertx.core.ThreadingModel;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonObject;
 import org.verbenatally.config.ConfigHolder;
-import org.verbenatally.config.Deployment;
 import org.verbenatally.core.FailureDomain;
-import org.verbenatally.core.Incarnation;
-import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.caller.CallerServer;
 import org.verbenatally.entry.key.KeyIssuer;
 import org.verbenatally.entry.operator.EntryMetrics;
 import org.verbenatally.entry.operator.OperatorServer;
 import org.verbenatally.entry.operator.RequestLog;
+import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
-import org.verbenatally.peer.PeerNetwork;
+import org.verbenatally.peer.PeerOptions;
+import org.verbenatally.peer.Peers;
+import org.verbenatally.peer.PlatformInstance;
 import org.verbenatally.policy.Dispatcher;
 import org.verbenatally.policy.SuspectTable;
 import org.verbenatally.policy.TargetTable;
@@ -36,6 +38,7 @@
 /** One entry instance: the facade of this module. Start it, and stop it with {@link #drain} or {@link #close}. */
 public final class EntryServer implements AutoCloseable {
     private static final long START_TIMEOUT_SECONDS = 20;
+    private static final long CLOSE_TIMEOUT_SECONDS = 2;
 
     private final EntrySettings settings;
     private final Vertx vertx = Vertx.vertx();
@@ -48,9 +51,10 @@
     private final AtomicBoolean draining = new AtomicBoolean();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final Dispatcher dispatcher;
-    private PeerNetwork peers;
+    private final AtomicBoolean closing = new AtomicBoolean();
+    private Peers peers;
     private CallerServer callers;
-    private Ports ports;
+    private StatusView status;
 
     /**
      * Where the server listens.
@@ -67,12 +71,17 @@
         this.dispatcher = new Dispatcher(timer, targets, suspects, new FailureDomain(settings.getFailureDomain()));
     }
 
-    /** Starts to listen and returns the ports; the server becomes ready once it has a configuration. */
+    /**
+     * Starts to listen and returns the ports; the server becomes ready once it has a configuration.
+     *
+     * @throws java.util.concurrent.CompletionException if a port is taken or the start takes too long
+     */
     public Ports start() {
         Context context = taskContext();
-        InstanceId self = new InstanceId(settings.getInstance());
-        Incarnation run = Incarnation.startedAt(timer.epochMillis());
-        peers = new LoneNetwork(self, run);
+        PeerBridge bridge = new PeerBridge(targets, suspects);
+        peers = join(Peers.start(PeerOptions.of(settings), vertx, timer, config, bridge));
+        TargetClients clients = new TargetClients(vertx);
+        LoadPoller loads = new LoadPoller(clients, context, timer, config, targets, id -> peers.push());
         callers = new CallerServer(
                 vertx,
                 context,
@@ -81,19 +90,43 @@
                 dispatcher,
                 targets,
                 suspects,
-                new TargetClients(vertx),
-                new KeyIssuer(self, run, timer::nanos),
+                clients,
+                loads,
+                new KeyIssuer(peers.self(), peers.incarnation(), timer::nanos),
                 peers,
                 settings.getStreamKeys(),
                 metrics,
                 log);
-        new PlatformReader(vertx, settings.getPlatform(), config, this::configured).start(context);
+        bridge.keyedCalls(callers.keyedCalls());
+        peers.onConfig(dispatcher::configure);
+        peers.onInstances(this::leavingTargets);
+        loads.start();
+        status = new StatusView(
+                settings.getInstance(), config, peers, targets, callers, dispatcher, metrics, this::notReady);
         OperatorServer operator = new OperatorServer(
                 vertx,
-                new OperatorServer.Views(this::notReady, this::status, JsonObject::new, metrics, log, () -> drain()));
-        ports = new Ports(
-                await(callers.listen(settings.getCallers())), await(operator.listen(settings.getOperator())), 0);
-        return ports;
+                new OperatorServer.Views(this::notReady, status::status, status::burn, metrics, log, this::drain));
+        return new Ports(
+                await(callers.listen(settings.getCallers())),
+                await(operator.listen(settings.getOperator())),
+                peers.address().port());
+    }
+
+    private void leavingTargets(List<PlatformInstance> instances) {
+        boolean news = false;
+        Set<TargetId> known = targets.leaving();
+        for (PlatformInstance instance : instances) {
+            boolean isTarget = instance.role() != PlatformInstance.Role.ENTRY;
+            if (isTarget
+                    && instance.leaving()
+                    && known.stream().noneMatch(id -> id.value().equals(instance.id()))) {
+                targets.markLeaving(new TargetId(instance.id()));
+                news = true;
+            }
+        }
+        if (news) {
+            peers.push();
+        }
     }
 
     private Context taskContext() {
@@ -111,44 +144,35 @@
     }
 
     private static <T> T await(Future<T> future) {
-        return future.toCompletionStage()
-                .toCompletableFuture()
-                .orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS)
-                .join();
+        return join(future.toCompletionStage().toCompletableFuture());
     }
 
-    private void configured() {
-        config.deployment().ifPresent(dispatcher::configure);
+    private static <T> T join(CompletableFuture<T> future) {
+        return future.orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
     }
 
     private Optional<String> notReady() {
-        if (draining.get()) {
-            return Optional.of("this entry is stopping");
-        }
-        return config.deployment().isPresent() ? Optional.empty() : Optional.of("there is no configuration yet");
-    }
-
-    private JsonObject status() {
-        return new JsonObject()
-                .put("instance", settings.getInstance())
-                .put(
-                        "configVersion",
-                        config.deployment()
-                                .map(Deployment::version)
-                                .map(v -> v.value())
-                                .orElse(0L))
-                .put("openRequests", callers.open())
-                .put("openGenerations", callers.generations());
+        return draining.get() ? Optional.of("this entry is stopping") : peers.notReadyReason();
     }
 
     /** Starts a graceful shutdown; completes when the server has stopped. */
     public CompletableFuture<Void> drain() {
         if (draining.compareAndSet(false, true)) {
-            timer.after(Duration.ofSeconds(3), this::close);
+            Thread.ofPlatform().name("drain").start(this::shutDown);
         }
         return stopped;
     }
 
+    private void shutDown() {
+        try {
+            new GracefulShutdown(callers, peers, Duration.ofSeconds(settings.getDrainSeconds())).run();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } finally {
+            close();
+        }
+    }
+
     /** Returns a future that completes when the server has stopped. */
     public CompletableFuture<Void> drained() {
         return stopped;
@@ -157,10 +181,15 @@
     /** Stops at once. */
     @Override
     public void close() {
+        if (!closing.compareAndSet(false, true)) {
+            return;
+        }
         dispatcher.close();
-        vertx.close().onComplete(done -> {
+        CompletableFuture<Void> left = peers == null ? CompletableFuture.completedFuture(null) : peers.close();
+        left.orTimeout(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS).whenComplete((v, e) -> {
+            // No tick may find the contexts closed.
             timer.close();
-            stopped.complete(null);
+            vertx.close().onComplete(done -> stopped.complete(null));
         });
     }
 }
--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/PeerBridge.java
@@ -0,0 +1,81 @@
+package org.verbenatally.entry;
+
+import java.util.List;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.entry.key.KeyedCalls;
+import org.verbenatally.peer.PeerHandler;
+import org.verbenatally.policy.SuspectTable;
+import org.verbenatally.policy.TargetTable;
+import org.verbenatally.wire.ForwardCall;
+import org.verbenatally.wire.ForwardResult;
+import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.Suspect;
+import org.verbenatally.wire.TargetLoad;
+
+/** Connects the peer network with the tables of this entry. */
+final class PeerBridge implements PeerHandler {
+    private final TargetTable targets;
+    private final SuspectTable suspects;
+    private final CompletableFuture<KeyedCalls> keyedCalls = new CompletableFuture<>();
+
+    PeerBridge(TargetTable targets, SuspectTable suspects) {
+        this.targets = Objects.requireNonNull(targets, "targets");
+        this.suspects = Objects.requireNonNull(suspects, "suspects");
+    }
+
+    /** Supplies the keyed calls, which need the network; calls that arrive earlier wait for it. */
+    void keyedCalls(KeyedCalls calls) {
+        keyedCalls.complete(calls);
+    }
+
+    @Override
+    public CompletableFuture<ForwardResult> onForward(InstanceId from, ForwardCall call) {
+        return keyedCalls.thenCompose(calls -> calls.onForward(from, call));
+    }
+
+    @Override
+    public CompletableFuture<Void> onKeyTransfer(InstanceId from, KeyTransfer part) {
+        return keyedCalls.thenAccept(calls -> calls.store().adopt(from, part));
+    }
+
+    @Override
+    public List<TargetLoad> targetLoads() {
+        return targets.ownLoads();
+    }
+
+    @Override
+    public void onTargetLoads(InstanceId from, List<TargetLoad> loads) {
+        targets.peerLoads(from, loads);
+    }
+
+    @Override
+    public Set<TargetId> leavingTargets() {
+        return targets.leaving();
+    }
+
+    @Override
+    public void onLeavingTargets(InstanceId from, Set<TargetId> leaving) {
+        leaving.forEach(targets::markLeaving);
+    }
+
+    @Override
+    public List<Suspect> suspects() {
+        return suspects.suspects();
+    }
+
+    @Override
+    public void onSuspects(InstanceId from, List<Suspect> rows) {
+        suspects.merge(from, rows);
+    }
+
+    @Override
+    public void onGone(InstanceId peer) {
+        targets.forgetPeer(peer);
+        suspects.forgetPeer(peer);
+    }
+}
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerParts.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerParts.java
@@ -9,6 +9,7 @@
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
 import org.verbenatally.entry.operator.RequestLog;
+import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
 import org.verbenatally.peer.PeerNetwork;
 import org.verbenatally.policy.Dispatcher;
@@ -25,6 +26,7 @@
  * @param targets what this entry knows of the targets
  * @param suspects requests that may crash targets
  * @param clients clients of targets
+ * @param loads reads load reports
  * @param peers links to other entries
  * @param streamTokens writes and checks stream tokens
  * @param metrics metrics
@@ -39,6 +41,7 @@
         TargetTable targets,
         SuspectTable suspects,
         TargetClients clients,
+        LoadPoller loads,
         PeerNetwork peers,
         StreamTokens streamTokens,
         EntryMetrics metrics,
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -20,6 +20,7 @@
 import org.verbenatally.entry.key.KeyedCalls;
 import org.verbenatally.entry.operator.EntryMetrics;
 import org.verbenatally.entry.operator.RequestLog;
+import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
 import org.verbenatally.peer.PeerNetwork;
 import org.verbenatally.policy.Dispatcher;
@@ -59,6 +60,7 @@
      * @param targets target table
      * @param suspects suspect table
      * @param clients clients of targets
+     * @param loads reads load reports
      * @param issuer issues idempotency keys
      * @param peers links to other entries
      * @param streamKeys secrets that sign stream tokens, the newest first
@@ -74,6 +76,7 @@
             TargetTable targets,
             SuspectTable suspects,
             TargetClients clients,
+            LoadPoller loads,
             KeyIssuer issuer,
             PeerNetwork peers,
             List<String> streamKeys,
@@ -87,6 +90,7 @@
                 targets,
                 suspects,
                 clients,
+                loads,
                 peers,
                 new StreamTokens(streamKeys),
                 metrics,
--- a/entry/src/main/java/org/verbenatally/entry/caller/Delivery.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Delivery.java
@@ -14,6 +14,9 @@
     private final Deployment.Levels levels;
     private long lastNanos;
     private boolean first = true;
+    private boolean firstLate;
+    private long tokens;
+    private long lateGaps;
 
     Delivery(EntryMetrics.TokenMeters meters, long startNanos, Optional<Deployment> deployment) {
         this.meters = meters;
@@ -29,7 +32,15 @@
         double lateMs = tookNanos / 1e6 - (first ? levels.firstTokenMs() : levels.tokenGapMs());
         if (lateMs > 0) {
             meters.stallSeconds().increment(lateMs / MILLIS_PER_SECOND);
+            firstLate |= first;
+            lateGaps += first ? 0 : 1;
         }
+        tokens++;
         first = false;
     }
+
+    /** Tells whether the first token and the objective's share of the gaps were in time. */
+    boolean metLevels() {
+        return tokens > 0 && !firstLate && lateGaps <= (1 - levels.objective()) * tokens;
+    }
 }
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -16,6 +16,7 @@
 import org.verbenatally.config.Kind;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.GenerationId;
+import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
@@ -321,8 +322,16 @@
     }
 
     private EngineStream open(Target target, GenerationId generation, TokenFeed feed, long from) {
-        EngineStream opened =
-                new EngineStream(vertx, parts.clients().engines(), target, generation, feed, from, work.maxTokens());
+        Optional<Incarnation> known = parts.loads().incarnation(target.id());
+        EngineStream opened = new EngineStream(
+                vertx,
+                parts.clients().engines(),
+                target,
+                generation,
+                feed,
+                from,
+                work.maxTokens(),
+                () -> parts.loads().hasRestarted(target, known));
         boolean close;
         synchronized (this) {
             stream = opened;
@@ -349,6 +358,7 @@
                         answer.end(end.tokens());
                         exchange.note("done after " + end.tokens() + " tokens");
                         parts.metrics().answered(work.kind().name(), Outcome.DONE);
+                        parts.metrics().budget().count(delivery.metLevels());
                         return Attempt.done();
                     }
                     case TokenFeed.Lost lost -> throw new IllegalStateException(lost.message());
@@ -431,6 +441,7 @@
         Problem problem = mayHaveRun && found.outcome() == Outcome.NOT_RUN ? found.withOutcome(Outcome.UNKNOWN) : found;
         parts.metrics().answered(work.kind().name(), problem.outcome());
         parts.metrics().failed(problem.step());
+        parts.metrics().budget().count(false);
         answer.fail(problem);
     }
 
--- a/entry/src/main/java/org/verbenatally/entry/caller/StreamHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/StreamHandler.java
@@ -43,6 +43,8 @@
                         kind.name().value()));
         exchange.note("resume at offset " + from + " on " + claims.target());
         Target target = target(claims);
+        // Before the attach: the earlier run must not take the lost connection as a reason to resume.
+        parts.runs().find(claims.generation()).ifPresent(run -> run.stop(EngineRun.Stop.SUPERSEDED));
         TokenFeed feed = attach(exchange, target, claims, from);
         Work work = new Work(
                 kind,
@@ -86,11 +88,11 @@
     void cancel(Exchange exchange, String token) {
         StreamTokens.Claims claims = claims(exchange, token);
         Target target = target(claims);
+        parts.runs().find(claims.generation()).ifPresent(run -> run.stop(EngineRun.Stop.CANCELLED));
         try {
             // The cancel needs the number of the newest attachment; a new attachment has it.
             TokenFeed feed = parts.clients().engines().resume(target, claims.generation(), 0);
             feed.close();
-            parts.runs().find(claims.generation()).ifPresent(run -> run.stop(EngineRun.Stop.CANCELLED));
             parts.clients().engines().cancel(target, claims.generation(), feed.attachment());
         } catch (TargetFailure e) {
             throw e.reason() == TargetFailure.Cause.UNKNOWN_GENERATION
--- a/entry/src/main/java/org/verbenatally/entry/operator/EntryMetrics.java
+++ b/entry/src/main/java/org/verbenatally/entry/operator/EntryMetrics.java
@@ -18,6 +18,7 @@
     private static final Duration[] GAP_BOUNDS = bounds(13, 27, 54, 108, 216, 432, 1_000, 2_000, 10_000);
 
     private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+    private final ErrorBudget budget = new ErrorBudget(System::nanoTime);
 
     private static Duration[] bounds(long... millis) {
         Duration[] result = new Duration[millis.length];
@@ -38,6 +39,11 @@
         registry.counter("verbenatally.failures", "step", step.text()).increment();
     }
 
+    /** Returns the error budget of the service levels. */
+    public ErrorBudget budget() {
+        return budget;
+    }
+
     /** Counts an attempt after the first. */
     public void retried(KindName kind) {
         registry.counter("verbenatally.retries", "kind", kind.value()).increment();
--- a/entry/src/main/java/org/verbenatally/entry/target/EngineStream.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/EngineStream.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -31,6 +32,7 @@
     private final GenerationId generation;
     private final long maxTokens;
     private final long firstAttachment;
+    private final BooleanSupplier restarted;
     private volatile TokenFeed feed;
     private volatile boolean closed;
     private long nextOffset;
@@ -78,6 +80,7 @@
      * @param feed the present attachment
      * @param from offset of the first token to read
      * @param maxTokens most tokens that the generation may have
+     * @param restarted asked, after the engine has forgotten the generation, whether it has restarted
      */
     public EngineStream(
             Vertx vertx,
@@ -86,7 +89,8 @@
             GenerationId generation,
             TokenFeed feed,
             long from,
-            long maxTokens) {
+            long maxTokens,
+            BooleanSupplier restarted) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.client = Objects.requireNonNull(client, "client");
         this.target = Objects.requireNonNull(target, "target");
@@ -94,6 +98,7 @@
         this.feed = Objects.requireNonNull(feed, "feed");
         this.nextOffset = from;
         this.maxTokens = maxTokens;
+        this.restarted = Objects.requireNonNull(restarted, "restarted");
         this.firstAttachment = feed.attachment();
     }
 
@@ -195,12 +200,15 @@
         throw new GenerationLost(GenerationLost.Reason.CLOSED, "closed here");
     }
 
-    private static void check(TargetFailure failure, int refused) throws GenerationLost {
+    private void check(TargetFailure failure, int refused) throws GenerationLost {
         if (refused >= REFUSALS_MEAN_DEAD) {
             throw new GenerationLost(GenerationLost.Reason.CRASHED, "engine refuses connections");
         }
         if (failure.reason() == TargetFailure.Cause.UNKNOWN_GENERATION) {
-            throw new GenerationLost(GenerationLost.Reason.LOST, failure.getMessage());
+            // Without a restart the generation was cancelled or evicted, which is no sign of a crash.
+            throw restarted.getAsBoolean()
+                    ? new GenerationLost(GenerationLost.Reason.CRASHED, "engine has restarted")
+                    : new GenerationLost(GenerationLost.Reason.LOST, failure.getMessage());
         }
         if (failure.reason() == TargetFailure.Cause.BAD_ANSWER) {
             throw new GenerationLost(GenerationLost.Reason.INVALID, failure.getMessage());
--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -68,7 +68,9 @@
                 .setPort(target.address().port())
                 .setMethod(method)
                 .setURI(uri);
-        Future<HttpClientRequest> future = client.request(options);
+        // Failures are reported by the futures of each exchange; a reset request needs no second report.
+        Future<HttpClientRequest> future =
+                client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
         try {
             return future.await(CONNECT_TIMEOUT.toMillis() + 500, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
