Separate the start of a generation from its run

Cause: a refused connection on a later attempt counted as a crash of the first; error details quoted engine data. Change: EngineStarter judges each start by itself; a stopped request that waits gets an answer; resumes do not count against the limit of open requests; an entry without issued keys does not wait for a successor.

--- a/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
+++ b/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
@@ -78,6 +78,9 @@
     /** Transfers the key tables to a successor, trying until one confirms or the time is up. */
     private void handOver() {
         KeyStore store = callers.keyedCalls().store();
+        if (store.isUnneeded()) {
+            return;
+        }
         try {
             while (left().isPositive()) {
                 Optional<InstanceId> successor = successor();
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -50,6 +50,10 @@
         } catch (RuntimeException e) {
             LOG.errorf(e, "caller: request %s failed with an internal error", exchange.id());
             fail(exchange, internalError());
+        } catch (Exception e) {
+            // Future.await throws the checked exceptions of a lost connection undeclared.
+            LOG.debugf("caller: request %s ended with its connection: %s", exchange.id(), e.getMessage());
+            fail(exchange, internalError());
         }
     }
 
@@ -79,7 +83,8 @@
                             .withRetryAfter(Duration.ofMillis(200)));
         }
         exchange.organisation(authenticator.authenticate(exchange.request()));
-        try (OrganisationLimits.Place place = parts.limits().enter(exchange.organisation(), exchange.startNanos())) {
+        try (OrganisationLimits.Place place =
+                parts.limits().enter(exchange.organisation(), exchange.startNanos(), !path.startsWith(STREAMS))) {
             if (path.startsWith(WORK)) {
                 require(exchange, HttpMethod.POST);
                 work.work(exchange, path.substring(WORK.length()));
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -12,19 +12,14 @@
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
-import io.vertx.core.json.JsonObject;
-import org.verbenatally.config.Kind;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.GenerationId;
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.Outcome;
-import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
-import org.verbenatally.entry.target.EngineClient;
 import org.verbenatally.entry.target.EngineStream;
-import org.verbenatally.entry.target.TargetFailure;
 import org.verbenatally.entry.target.TokenFeed;
 import org.verbenatally.policy.Flight;
 import org.verbenatally.policy.FlightEnd;
@@ -42,14 +37,6 @@
     /** Time for the first read of a stream whose address was given out with status 202. */
     private static final Duration FIRST_READ = Duration.ofSeconds(25);
 
-    /** Patient work has priority 0. */
-    private static final int URGENT_PRIORITY = 10;
-
-    private static final int CONFLICT = 409;
-    private static final int BAD_GATEWAY = 502;
-    private static final int UNPROCESSABLE = 422;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final CallerParts parts;
     private final Exchange exchange;
     private final Answer answer;
@@ -217,7 +204,7 @@
 
     private Optional<Flight> acquire(Set<TargetId> exclude) {
         if (parts.suspects().check(work.fingerprint()) == SuspectTable.Verdict.QUARANTINED) {
-            failed(Problem.refused(UNPROCESSABLE, "crashes-targets", Step.ADMIT, "the request crashes targets"));
+            failed(RunProblems.quarantined());
             return Optional.empty();
         }
         CompletableFuture<Flight> future = parts.dispatcher()
@@ -243,7 +230,8 @@
         } catch (StepException e) {
             failed(Problem.of(e));
         } catch (CancellationException e) {
-            stopProblem().ifPresent(this::failed);
+            RunProblems.stoppedWhileWaiting(stopped().orElse(Stop.ABANDONED), mayHaveRun)
+                    .ifPresent(this::failed);
         } finally {
             vertx.cancelTimer(open);
         }
@@ -260,14 +248,18 @@
         Optional<Target> target = parts.target(flight.target());
         if (target.isEmpty()) {
             return new Attempt(
-                    FlightEnd.REFUSED, Optional.of(notRun(flight.target(), "the target was removed")), false, false);
+                    FlightEnd.REFUSED,
+                    Optional.of(RunProblems.notRun(flight.target(), "the target was removed")),
+                    false,
+                    false);
         }
         GenerationId generation = GenerationId.random();
         TokenFeed feed;
-        try {
-            feed = start(target.get(), generation);
-        } catch (TargetFailure e) {
-            return failedStart(target.get(), e);
+        switch (new EngineStarter(parts, work).start(target.get(), generation)) {
+            case EngineStarter.Started started -> feed = started.feed();
+            case EngineStarter.Failed failed -> {
+                return failedStart(target.get(), failed);
+            }
         }
         mayHaveRun = true;
         EngineStream opened = open(target.get(), generation, feed, 0);
@@ -278,47 +270,12 @@
         return deliver(opened, Optional.of(flight));
     }
 
-    private TokenFeed start(Target target, GenerationId generation) throws TargetFailure {
-        EngineClient.Start start = new EngineClient.Start(
-                generation,
-                work.kind().model().orElseThrow(),
-                work.kind().adapter(),
-                work.prompt(),
-                work.maxTokens(),
-                work.kind().urgency() == Kind.Urgency.URGENT ? URGENT_PRIORITY : 0,
-                work.organisation().id());
-        try {
-            return parts.clients().engines().start(target, start);
-        } catch (TargetFailure e) {
-            if (e.reason() != TargetFailure.Cause.SILENT && e.reason() != TargetFailure.Cause.BROKEN) {
-                throw e;
-            }
-            // The engine may have taken the request although its answer was lost.
-            exchange.note("no answer to the start, asking for the generation: " + e.getMessage());
-            return resumeStart(target, generation);
-        }
-    }
-
-    private TokenFeed resumeStart(Target target, GenerationId generation) throws TargetFailure {
-        try {
-            return parts.clients().engines().resume(target, generation, 0);
-        } catch (TargetFailure e) {
-            // The start may have left, so a refusal of the resume does not prove that nothing ran.
-            mayHaveRun = true;
-            throw e;
-        }
-    }
-
-    private Attempt failedStart(Target target, TargetFailure e) {
-        if (e.reason() == TargetFailure.Cause.LEAVING) {
-            parts.targetLeaving(target.id());
-        }
-        boolean crashed = mayHaveRun && e.reason() == TargetFailure.Cause.CONNECTION_REFUSED;
-        boolean notRun = e.reason().notRun() && !mayHaveRun;
-        mayHaveRun |= !notRun;
-        Problem problem = notRun ? notRun(target.id(), e.getMessage()) : generationLost(target.id(), e.getMessage());
-        FlightEnd end = e.reason().refused() ? FlightEnd.REFUSED : crashed ? FlightEnd.CRASHED : FlightEnd.FAILED;
-        return new Attempt(end, Optional.of(problem), !notRun, false);
+    private Attempt failedStart(Target target, EngineStarter.Failed failed) {
+        mayHaveRun |= failed.mayHaveRun();
+        String detail = failed.failure().getMessage();
+        Problem problem =
+                failed.mayHaveRun() ? generationLost(target.id(), detail) : RunProblems.notRun(target.id(), detail);
+        return new Attempt(failed.end(), Optional.of(problem), failed.mayHaveRun(), false);
     }
 
     private EngineStream open(Target target, GenerationId generation, TokenFeed feed, long from) {
@@ -405,36 +362,11 @@
     }
 
     private Optional<Problem> stopProblem() {
-        boolean queued = !mayHaveRun;
-        Outcome outcome = queued ? Outcome.NOT_RUN : Outcome.UNKNOWN;
-        Step step = queued ? Step.ADMIT : Step.STREAM;
-        return switch (stopped().orElse(Stop.ABANDONED)) {
-            case DEADLINE ->
-                Optional.of(Problem.refused(GATEWAY_TIMEOUT, "deadline", step, "the deadline has passed")
-                        .withOutcome(outcome));
-            case CANCELLED ->
-                Optional.of(Problem.refused(CONFLICT, "cancelled", step, "the caller cancelled the stream")
-                        .withOutcome(outcome));
-            case ABANDONED, SUPERSEDED, RECONNECT -> Optional.empty();
-        };
-    }
-
-    private Problem notRun(TargetId target, String detail) {
-        return Problem.of(
-                new StepException(Step.CONNECT, target.value(), Outcome.NOT_RUN, detail, null, Duration.ofSeconds(1)));
+        return stopped().flatMap(reason -> RunProblems.stopped(reason, mayHaveRun));
     }
 
     private Problem generationLost(TargetId target, String detail) {
-        return new Problem(
-                        BAD_GATEWAY,
-                        "generation-lost",
-                        detail,
-                        Outcome.UNKNOWN,
-                        answer.delivered() ? Step.STREAM : Step.FIRST_TOKEN,
-                        target.value(),
-                        Optional.empty(),
-                        new JsonObject())
-                .with("delivered", stream == null ? 0 : stream.nextOffset());
+        return RunProblems.generationLost(target, detail, answer.delivered(), stream == null ? 0 : stream.nextOffset());
     }
 
     private void failed(Problem found) {
--- a/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
@@ -19,6 +19,8 @@
     /** A reader that takes no half of the buffer in this time is dropped; it can resume. */
     private static final Duration SLOW_READER = Duration.ofSeconds(10);
 
+    private static final Duration LAST_BYTES = Duration.ofSeconds(2);
+
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final Vertx vertx;
@@ -115,6 +117,8 @@
         vertx.cancelTimer(timer);
         if (!response.closed()) {
             response.end().onComplete(done -> request.connection().close());
+            // On a silent connection the last bytes never leave.
+            vertx.setTimer(LAST_BYTES.toMillis(), id -> request.connection().close());
         }
     }
 
--- a/entry/src/main/java/org/verbenatally/entry/caller/OrganisationLimits.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/OrganisationLimits.java
@@ -51,13 +51,16 @@
     /**
      * Counts a request.
      *
+     * @param organisation whose request it is
+     * @param nowNanos monotonic time
+     * @param isNewWork whether the limit of open requests applies; a resume takes the place of a lost connection
      * @throws ProblemException if the organisation is above a limit
      */
-    Place enter(Organisation organisation, long nowNanos) {
+    Place enter(Organisation organisation, long nowNanos, boolean isNewWork) {
         Usage usage = usages.computeIfAbsent(organisation.id(), id -> new Usage());
         Optional<Problem> refusal;
         synchronized (usage) {
-            refusal = check(usage, organisation, nowNanos);
+            refusal = check(usage, organisation, nowNanos, isNewWork);
             if (refusal.isEmpty()) {
                 usage.tokens--;
                 usage.open++;
@@ -69,7 +72,7 @@
         return new Place(usage);
     }
 
-    private static Optional<Problem> check(Usage usage, Organisation organisation, long nowNanos) {
+    private static Optional<Problem> check(Usage usage, Organisation organisation, long nowNanos, boolean isNewWork) {
         double rate = organisation.requestsPerSecond();
         double bound = Math.max(1, rate * BURST_SECONDS);
         if (usage.tokens < 0) {
@@ -78,7 +81,7 @@
             usage.tokens = Math.min(bound, usage.tokens + (nowNanos - usage.lastNanos) / NANOS_PER_SECOND * rate);
         }
         usage.lastNanos = nowNanos;
-        if (usage.open >= organisation.maxStreams()) {
+        if (isNewWork && usage.open >= organisation.maxStreams()) {
             return Optional.of(refusal("too-many-open", "the organisation has too many open requests")
                     .withRetryAfter(Duration.ofSeconds(1)));
         }
--- a/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
@@ -17,6 +17,8 @@
 import org.verbenatally.config.Kind;
 import org.verbenatally.config.Organisation;
 import org.verbenatally.config.Target;
+import org.verbenatally.config.TargetType;
+import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
@@ -87,7 +89,8 @@
         context.runOnContext(v -> {
             try {
                 result.complete(runOnce(call));
-            } catch (RuntimeException e) {
+            } catch (Exception e) {
+                // Future.await throws checked exceptions undeclared, and the future must complete.
                 LOG.errorf(e, "key: request %s failed with an internal error", call.request());
                 result.complete(failed(Outcome.UNKNOWN, Step.SEND, "entry", "internal error"));
             }
@@ -102,7 +105,7 @@
         Kind kind = deployment.map(d -> d.kinds().get(call.kind())).orElse(null);
         Organisation organisation =
                 deployment.map(d -> d.organisations().get(call.organisation())).orElse(null);
-        if (kind == null || organisation == null) {
+        if (kind == null || organisation == null || kind.runsOn() != TargetType.SERVICE) {
             return failed(Outcome.NOT_RUN, Step.ADMIT, "entry", "the owner does not know the kind or organisation");
         }
         String callId = Long.toHexString(
@@ -185,6 +188,7 @@
                     Optional.of(id),
                     false);
         }
+        Optional<Incarnation> known = parts.loads().incarnation(id);
         boolean[] sent = {false};
         BooleanSupplier gate = () -> {
             sent[0] = maySend.getAsBoolean();
@@ -196,7 +200,8 @@
                     .call(target.get(), call.kind().name(), call.callId(), call.body(), fresh, left(call), gate);
             return answered(id, answer);
         } catch (TargetFailure e) {
-            return failed(id, e, sent[0]);
+            boolean broken = sent[0] && e.reason() == TargetFailure.Cause.BROKEN;
+            return failed(id, e, sent[0], broken && parts.loads().hasRestarted(target.get(), known));
         }
     }
 
@@ -211,7 +216,7 @@
         return new Attempt(result, FlightEnd.FAILED, Optional.of(id), true);
     }
 
-    private Attempt failed(TargetId id, TargetFailure e, boolean sent) {
+    private Attempt failed(TargetId id, TargetFailure e, boolean sent, boolean crashed) {
         if (e.reason() == TargetFailure.Cause.LEAVING) {
             parts.targetLeaving(id);
         }
@@ -221,7 +226,7 @@
         Step step = sent ? Step.SEND : Step.CONNECT;
         return new Attempt(
                 failed(outcome, step, id.value(), e.getMessage()),
-                refused ? FlightEnd.REFUSED : FlightEnd.FAILED,
+                refused ? FlightEnd.REFUSED : crashed ? FlightEnd.CRASHED : FlightEnd.FAILED,
                 Optional.of(id),
                 mayHaveRun);
     }
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyIssuer.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyIssuer.java
@@ -52,6 +52,11 @@
         stopped = true;
     }
 
+    /** Tells whether a key was issued. */
+    public boolean hasIssued() {
+        return serial.get() > 0;
+    }
+
     long uptimeMs() {
         return (nanos.getAsLong() - startNanos) / NANOS_PER_MILLI;
     }
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
@@ -102,6 +102,16 @@
         return own.size();
     }
 
+    /** Tells whether no key needs this instance's memory: it issued none and took over none. */
+    public boolean isUnneeded() {
+        lock.readLock().lock();
+        try {
+            return !issuer.hasIssued() && adopted.isEmpty();
+        } finally {
+            lock.readLock().unlock();
+        }
+    }
+
     /** Returns the used keys held here, those of adopted tables included. */
     public int used() {
         lock.readLock().lock();
--- a/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
@@ -154,7 +154,9 @@
                 throw new IllegalArgumentException("status is " + response.statusCode());
             }
             return read(target, new JsonObject(body));
-        } catch (DecodeException | IllegalArgumentException | ClassCastException e) {
+        } catch (DecodeException | ClassCastException e) {
+            throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, "report is malformed", e);
+        } catch (IllegalArgumentException e) {
             throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, e.getMessage(), e);
         }
     }
--- a/entry/src/main/java/org/verbenatally/entry/target/TokenFeed.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TokenFeed.java
@@ -113,7 +113,10 @@
         }
         try {
             parser.feed(bytes);
-        } catch (IllegalArgumentException | DecodeException | ClassCastException e) {
+        } catch (DecodeException | ClassCastException | NumberFormatException e) {
+            // The messages of these errors quote the data, which must not reach a log.
+            finish(new Lost(TargetFailure.Cause.BAD_ANSWER, "malformed event"));
+        } catch (IllegalArgumentException e) {
             finish(new Lost(TargetFailure.Cause.BAD_ANSWER, "malformed event: " + e.getMessage()));
         }
     }
@@ -176,9 +179,8 @@
             wake();
         }
         vertx.cancelTimer(timer);
-        if (item instanceof Lost) {
-            request.reset();
-        }
+        // After the end event too: an engine that holds the connection open must not keep it here.
+        request.reset();
     }
 
     private void wake() {
