Test idempotency keys

Cause: the keys had no tests. Change: tests of owner, copies, expiry, restart, transfer, and a property that at most one concurrent claim is granted. Before / after: mvn -pl entry -am -Dtest='Key*Test' verify: passes. Conclusion: no fault found.

--- /dev/null
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyFleet.java
@@ -0,0 +1,144 @@
+package org.verbenatally.entry.key;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.verbenatally.core.Address;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+import org.verbenatally.core.StepException;
+import org.verbenatally.peer.MemberInfo;
+import org.verbenatally.peer.PeerNetwork;
+import org.verbenatally.wire.ForwardCall;
+import org.verbenatally.wire.ForwardResult;
+import org.verbenatally.wire.KeyTransfer;
+
+/** Entries whose key owners reach each other directly, and a runner that counts the runs of each key. */
+final class KeyFleet {
+    static final OrganisationId ORGANISATION = new OrganisationId("tana");
+    static final KindName KIND = new KindName("order-booking");
+
+    final ManualTimer timer = new ManualTimer();
+    final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final Map<InstanceId, Node> nodes = new ConcurrentHashMap<>();
+
+    /** One entry. */
+    final class Node implements PeerNetwork {
+        private final InstanceId id;
+        private final Incarnation run;
+        final KeyedCalls calls;
+        volatile boolean reachable = true;
+        volatile CallRunner runner = call -> CompletableFuture.completedFuture(
+                CallResult.done(200, ("{\"run\":" + count(call.key()) + "}").getBytes(), "service"));
+
+        Node(String name, long incarnation) {
+            id = new InstanceId(name);
+            run = new Incarnation(incarnation);
+            KeyIssuer issuer = new KeyIssuer(id, run, timer::nanos);
+            calls = new KeyedCalls(issuer, call -> runner.run(call), this, timer);
+        }
+
+        String issue() {
+            return calls.issue(ORGANISATION, KIND).orElseThrow();
+        }
+
+        CompletableFuture<CallResult> call(String key) {
+            return calls.call(
+                    new CallRunner.Call("r", ORGANISATION, KIND, key, timer.nanos() + 5_000_000_000L, "{}".getBytes()));
+        }
+
+        Outcome outcome(String key) {
+            return call(key).join().outcome();
+        }
+
+        void transferTo(Node successor) {
+            calls.store().beginTransfer();
+            for (List<KeyTransfer> table : calls.store().parts()) {
+                table.forEach(part -> successor.calls.store().adopt(id, part));
+            }
+            calls.store().endTransfer(Optional.of(successor.id));
+        }
+
+        @Override
+        public InstanceId self() {
+            return id;
+        }
+
+        @Override
+        public Incarnation incarnation() {
+            return run;
+        }
+
+        @Override
+        public List<MemberInfo> members() {
+            List<MemberInfo> members = new ArrayList<>();
+            nodes.values()
+                    .forEach(node -> members.add(new MemberInfo(
+                            node.id,
+                            node.run,
+                            new Address("127.0.0.1", 1),
+                            new FailureDomain("Bole"),
+                            MemberInfo.Status.LIVE,
+                            ConfigVersion.NONE,
+                            Optional.empty())));
+            return members;
+        }
+
+        @Override
+        public CompletableFuture<ForwardResult> forward(
+                InstanceId owner, Incarnation ownerRun, ForwardCall call, Duration timeout) {
+            Node node = nodes.get(owner);
+            if (node == null || !node.reachable || !node.run.equals(ownerRun)) {
+                return CompletableFuture.failedFuture(
+                        new StepException(Step.FORWARD, owner.value(), Outcome.UNKNOWN, "cannot be reached"));
+            }
+            return node.calls.onForward(id, call);
+        }
+
+        @Override
+        public CompletableFuture<Void> transferKeys(InstanceId successor, List<KeyTransfer> parts, Duration timeout) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void announceKeySuccessor(InstanceId successor) {}
+
+        @Override
+        public void leave() {}
+
+        @Override
+        public void push() {}
+
+        @Override
+        public CompletableFuture<Void> close() {
+            return CompletableFuture.completedFuture(null);
+        }
+    }
+
+    Node start(String name, long incarnation) {
+        Node node = new Node(name, incarnation);
+        nodes.put(node.id, node);
+        return node;
+    }
+
+    int count(String key) {
+        return runs.computeIfAbsent(key, k -> new AtomicInteger()).incrementAndGet();
+    }
+
+    int runsOf(String key) {
+        AtomicInteger count = runs.get(key);
+        return count == null ? 0 : count.get();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyTableTest.java
@@ -0,0 +1,130 @@
+package org.verbenatally.entry.key;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CyclicBarrier;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.Outcome;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class KeyTableTest {
+    private final ManualTimer timer = new ManualTimer();
+    private final KeyIssuer issuer = new KeyIssuer(new InstanceId("a"), new Incarnation(1), timer::nanos);
+    private final KeyTable table = new KeyTable(issuer.secretBytes(), issuer::uptimeMs);
+
+    private String issue() {
+        return issuer.issue(KeyFleet.ORGANISATION, KeyFleet.KIND).orElseThrow();
+    }
+
+    private KeyTable.Claim claim(String key) {
+        return table.claim(key, IdempotencyKey.read(key).orElseThrow(), 1);
+    }
+
+    /** Guards against two runs of one key when copies arrive at the same time. */
+    @Property(tries = 60, seed = "20261204")
+    void atMostOneOfSeveralConcurrentClaimsIsGranted(
+            @ForAll @IntRange(min = 2, max = 8) int threads, @ForAll @IntRange(min = 1, max = 6) int keys)
+            throws Exception {
+        List<String> issued = IntStream.range(0, keys).mapToObj(i -> issue()).toList();
+        KeyFleet fleet = new KeyFleet();
+        CyclicBarrier start = new CyclicBarrier(threads);
+        try (ExecutorService pool = Executors.newFixedThreadPool(threads)) {
+            List<Future<?>> tasks = IntStream.range(0, threads)
+                    .<Future<?>>mapToObj(thread -> pool.submit(() -> {
+                        start.await();
+                        for (int i = 0; i < keys * 3; i++) {
+                            present(issued.get((i * 7 + thread) % keys), fleet);
+                        }
+                        return null;
+                    }))
+                    .toList();
+            for (Future<?> task : tasks) {
+                task.get();
+            }
+        }
+        issued.forEach(key -> assertThat(fleet.runsOf(key)).isEqualTo(1));
+    }
+
+    private void present(String key, KeyFleet fleet) {
+        switch (claim(key)) {
+            case KeyTable.Granted granted -> {
+                int run = fleet.count(key);
+                table.finish(key, CallResult.done(200, new byte[] {(byte) run}, "s"));
+            }
+            case KeyTable.Copy copy ->
+                assertThat(copy.result().orTimeout(20, TimeUnit.SECONDS).join().outcome())
+                        .isEqualTo(Outcome.DONE);
+            case KeyTable.Unknown unknown -> throw new AssertionError(unknown.reason());
+        }
+    }
+
+    /** Guards against a waiting copy that is left without the result. */
+    @Test
+    void copyWaitsForTheResultOfTheRunningCall() {
+        String key = issue();
+        assertThat(claim(key)).isInstanceOf(KeyTable.Granted.class);
+        CompletableFuture<CallResult> copy = ((KeyTable.Copy) claim(key)).result();
+        assertThat(copy).isNotDone();
+
+        table.finish(key, CallResult.done(201, new byte[] {1}, "s"));
+
+        assertThat(copy.join().status()).isEqualTo(201);
+    }
+
+    /** Guards against unbounded memory: an answer too large to store leaves only its outcome. */
+    @Test
+    void largeAnswerIsNotStored() {
+        String key = issue();
+        claim(key);
+        table.finish(key, CallResult.done(200, new byte[100_000], "s"));
+
+        CallResult later = ((KeyTable.Copy) claim(key)).result().join();
+
+        assertThat(later.outcome()).isEqualTo(Outcome.DONE);
+        assertThat(later.body()).isEmpty();
+    }
+
+    /** Guards against the loss of a running call's row, which would allow a second run. */
+    @Test
+    void trimKeepsCallsThatStillRun() {
+        String running = issue();
+        String ended = issue();
+        claim(running);
+        claim(ended);
+        table.finish(ended, CallResult.done(200, new byte[0], "s"));
+        timer.advance(Duration.ofMillis(KeyTable.RETENTION_MS + 1));
+
+        table.trim();
+
+        assertThat(table.size()).isEqualTo(1);
+        assertThat(claim(running)).isInstanceOf(KeyTable.Copy.class);
+    }
+
+    /** Guards against two rows, and so two runs, for two spellings of one key. */
+    @Test
+    void onlyOneSpellingOfAKeyIsRead() {
+        String key = issue();
+        for (int i = 0; i < 64; i++) {
+            String other = key.substring(0, key.length() - 1)
+                    + "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_".charAt(i);
+            boolean same = other.equals(key);
+            boolean accepted = IdempotencyKey.read(other).isPresent() && table.isGenuine(other);
+            assertThat(accepted).isEqualTo(same);
+        }
+        assertThat(IdempotencyKey.read(key + "=")).isEmpty();
+        assertThat(IdempotencyKey.read(key + "7")).isEmpty();
+    }
+}
--- /dev/null
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyedCallsTest.java
@@ -0,0 +1,183 @@
+package org.verbenatally.entry.key;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class KeyedCallsTest {
+    private final KeyFleet fleet = new KeyFleet();
+    private final KeyFleet.Node a = fleet.start("a", 11);
+    private final KeyFleet.Node b = fleet.start("b", 12);
+
+    /** Guards against a second run when copies arrive at several entries. */
+    @Test
+    void copiesAtAllEntriesGetTheResultOfOneRun() {
+        String key = a.issue();
+
+        byte[] first = b.call(key).join().body();
+
+        assertThat(a.call(key).join().body()).isEqualTo(first);
+        assertThat(b.call(key).join().body()).isEqualTo(first);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+    }
+
+    /** Guards against an answer that calls a call not-run although the unreachable owner may have run it. */
+    @Test
+    void callIsUnknownWhileItsOwnerCannotBeReached() {
+        String key = a.issue();
+        a.call(key).join();
+        a.reachable = false;
+
+        assertThat(b.outcome(key)).isEqualTo(Outcome.UNKNOWN);
+
+        a.reachable = true;
+        assertThat(b.outcome(key)).isEqualTo(Outcome.DONE);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+    }
+
+    /** Guards against a run of a key that an earlier incarnation issued and may have run. */
+    @Test
+    void keyOfAnEarlierIncarnationIsUnknownAndNotRun() {
+        String key = a.issue();
+        KeyFleet.Node restarted = fleet.start("a", 13);
+
+        assertThat(restarted.outcome(key)).isEqualTo(Outcome.UNKNOWN);
+        assertThat(b.outcome(key)).isEqualTo(Outcome.UNKNOWN);
+        assertThat(fleet.runsOf(key)).isZero();
+    }
+
+    /** Guards against a run after a refusal that the caller took as final. */
+    @Test
+    void notRunIsFinal() {
+        String key = a.issue();
+        a.runner = call ->
+                CompletableFuture.completedFuture(CallResult.failed(Outcome.NOT_RUN, Step.ADMIT, "a", "overloaded"));
+        assertThat(b.outcome(key)).isEqualTo(Outcome.NOT_RUN);
+        a.runner = call -> CompletableFuture.completedFuture(CallResult.done(200, new byte[0], "s"));
+
+        assertThat(a.outcome(key)).isEqualTo(Outcome.NOT_RUN);
+    }
+
+    /** Guards against a run of an expired key, whose row may have been dropped after a run. */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void expiredKeyIsUnknownAndNotRun(boolean usedBefore) {
+        String key = a.issue();
+        if (usedBefore) {
+            a.call(key).join();
+        }
+        fleet.timer.advance(Duration.ofMillis(KeyTable.RETENTION_MS + 1));
+        a.calls.store().trim();
+
+        assertThat(a.outcome(key)).isEqualTo(Outcome.UNKNOWN);
+        assertThat(fleet.runsOf(key)).isEqualTo(usedBefore ? 1 : 0);
+    }
+
+    /** Guards against a run under a key that another organisation, another kind or nobody was given. */
+    @Test
+    void keyOfAnotherOrganisationOrKindOrAForgedKeyIsNotRun() {
+        String key = a.issue();
+        char last = key.charAt(key.length() - 3);
+        String forged =
+                key.substring(0, key.length() - 3) + (last == 'A' ? 'B' : 'A') + key.substring(key.length() - 2);
+        long deadline = fleet.timer.nanos() + 1_000_000_000L;
+
+        assertThat(a.outcome(forged)).isEqualTo(Outcome.NOT_RUN);
+        assertThat(a.outcome("no key")).isEqualTo(Outcome.NOT_RUN);
+        assertThat(a.calls
+                        .call(new CallRunner.Call(
+                                "r", new OrganisationId("gibe"), KeyFleet.KIND, key, deadline, new byte[0]))
+                        .join()
+                        .outcome())
+                .isEqualTo(Outcome.NOT_RUN);
+        assertThat(a.calls
+                        .call(new CallRunner.Call(
+                                "r", KeyFleet.ORGANISATION, new KindName("other"), key, deadline, new byte[0]))
+                        .join()
+                        .outcome())
+                .isEqualTo(Outcome.NOT_RUN);
+        assertThat(fleet.runs).isEmpty();
+    }
+
+    /** Guards against the first order's answer being given for a second order under the same key. */
+    @Test
+    void anotherBodyUnderAUsedKeyIsUnknownAndNotRun() {
+        String key = a.issue();
+        a.call(key).join();
+
+        CallResult result = a.calls
+                .call(new CallRunner.Call(
+                        "r",
+                        KeyFleet.ORGANISATION,
+                        KeyFleet.KIND,
+                        key,
+                        fleet.timer.nanos() + 1_000_000_000L,
+                        "{\"other\":1}".getBytes()))
+                .join();
+
+        assertThat(result.outcome()).isEqualTo(Outcome.UNKNOWN);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+    }
+
+    /** Guards against a loss of used and unused keys in a planned stop. */
+    @Test
+    void successorAnswersForTransferredKeys() {
+        String used = a.issue();
+        byte[] first = a.call(used).join().body();
+        String unused = a.issue();
+        fleet.timer.advance(Duration.ofMinutes(5));
+
+        a.transferTo(b);
+
+        assertThat(b.call(used).join().body()).isEqualTo(first);
+        assertThat(b.outcome(unused)).isEqualTo(Outcome.DONE);
+        assertThat(a.outcome(unused)).as("forwarded to the successor").isEqualTo(Outcome.DONE);
+        assertThat(fleet.runsOf(used)).isEqualTo(1);
+        assertThat(fleet.runsOf(unused)).isEqualTo(1);
+    }
+
+    /** Guards against a transferred key becoming young again, which would let it run after its rows were dropped. */
+    @Test
+    void transferKeepsTheAgeOfKeys() {
+        String unused = a.issue();
+        fleet.timer.advance(Duration.ofMinutes(20));
+        a.transferTo(b);
+        fleet.timer.advance(Duration.ofMinutes(11));
+
+        assertThat(b.outcome(unused)).isEqualTo(Outcome.UNKNOWN);
+        assertThat(fleet.runsOf(unused)).isZero();
+    }
+
+    /** Guards against a run at the old owner that the transferred table does not contain. */
+    @Test
+    void callsDuringATransferWaitForItsEnd() {
+        String key = a.issue();
+        a.calls.store().beginTransfer();
+        CompletableFuture<CallResult> waiting = a.call(key);
+        assertThat(waiting).isNotDone();
+        assertThat(fleet.runsOf(key)).isZero();
+
+        a.calls.store().endTransfer(Optional.empty());
+
+        assertThat(waiting.join().outcome()).isEqualTo(Outcome.DONE);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+    }
+
+    /** Guards against keys that nobody will be able to answer for. */
+    @Test
+    void noKeysAreIssuedAfterTheStopHasBegun() {
+        a.calls.stopIssuing();
+
+        assertThat(a.calls.issue(KeyFleet.ORGANISATION, KeyFleet.KIND)).isEmpty();
+    }
+}
