--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -97,7 +97,8 @@
     HttpClientResponse send(Target target, HttpClientRequest request, Buffer body, Duration silence)
             throws TargetFailure {
         Future<HttpClientResponse> sent = body == null ? request.send() : request.send(body);
-        Future<HttpClientResponse> answer = sent.onSuccess(HttpClientResponse::pause);
+        Future<HttpClientResponse> answer =
+                sent.onSuccess(response -> response.exceptionHandler(e -> {}).pause());
         try {
             return answer.await(Math.max(1, silence.toMillis()), TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
