--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -68,7 +68,9 @@
                 .setPort(target.address().port())
                 .setMethod(method)
                 .setURI(uri);
-        Future<HttpClientRequest> future = client.request(options);
+        // Failures are reported by the futures of each exchange; a reset request needs no second report.
+        Future<HttpClientRequest> future =
+                client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
         try {
             return future.await(CONNECT_TIMEOUT.toMillis() + 500, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
@@ -95,7 +97,8 @@
     HttpClientResponse send(Target target, HttpClientRequest request, Buffer body, Duration silence)
             throws TargetFailure {
         Future<HttpClientResponse> sent = body == null ? request.send() : request.send(body);
-        Future<HttpClientResponse> answer = sent.onSuccess(HttpClientResponse::pause);
+        Future<HttpClientResponse> answer =
+                sent.onSuccess(response -> response.exceptionHandler(e -> {}).pause());
         try {
             return answer.await(Math.max(1, silence.toMillis()), TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
