--- a/core/src/main/java/org/verbenatally/policy/BaselineRouting.java
+++ b/core/src/main/java/org/verbenatally/policy/BaselineRouting.java
@@ -10,6 +10,7 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.apache.commons.rng.simple.ThreadLocalRandomSource;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.policy.TargetSnapshot.Estimate;
 
 /**
  * The usual ways to choose a target, for comparison. They obey only the configured concurrency and know nothing of
@@ -60,11 +61,22 @@
     /**
      * Takes the target with the lowest key-value pressure ratio: token rate over remaining memory. All requests decode
      * at the same rate in one batch, so the rate is proportional to the requests.
+     *
+     * @param corrected whether the load estimated here is used instead of the published one
      */
-    static RoutingPolicy keyValuePressure() {
+    static RoutingPolicy keyValuePressure(boolean corrected) {
         return input -> lowest(open(input), t -> {
-            double left = t.estimate().kvCapacityTokens() - t.estimate().kvTokens() - input.promptTokens();
-            return (t.estimate().requests() + 1) / Math.max(1, left);
+            Estimate now = t.estimate();
+            double requests = t.report()
+                    .filter(r -> !corrected)
+                    .map(r -> (double) r.running() + r.waiting())
+                    .orElse(now.requests());
+            double used = t.report()
+                    .filter(r -> !corrected)
+                    .map(r -> (double) r.kvUsedTokens())
+                    .orElse(now.kvTokens());
+            double left = now.kvCapacityTokens() - used - input.promptTokens();
+            return (requests + 1) / Math.max(1, left);
         });
     }
 
--- a/core/src/main/java/org/verbenatally/policy/ConcurrencyLimit.java
+++ b/core/src/main/java/org/verbenatally/policy/ConcurrencyLimit.java
@@ -19,6 +19,7 @@
     /** Memory share below which a request that waits at the target waits for a place in the batch, not for memory. */
     private static final double MEMORY_FREE = 0.85;
 
+    private static final int FULL_REPORTS = 3;
     private static final int LEAST = 2;
     private static final double LEAST_MARGIN = 0.04;
     private static final double LARGEST_MARGIN = 0.30;
@@ -34,6 +35,8 @@
     private int late;
     private boolean preempted;
     private boolean batchSeen;
+    private int fullReports;
+    private int fullSize;
 
     /**
      * Creates a limit that starts at its ceiling.
@@ -81,11 +84,17 @@
         }
     }
 
-    /** Learns the size of the target's batch from requests that wait there although memory is free. */
+    /**
+     * Learns the size of the target's batch from requests that wait there although memory is free. A new request also
+     * waits for the end of the present step, so only a batch of one size in several reports in a row counts.
+     */
     synchronized void observed(ReportedLoad load) {
         boolean memoryFree = load.kvUsedTokens() < MEMORY_FREE * load.kvCapacityTokens();
-        if (load.waiting() > 0 && load.running() > 0 && memoryFree) {
-            limit = Math.max(LEAST, Math.min(limit, load.running()));
+        boolean full = load.waiting() > 0 && load.running() > 0 && memoryFree;
+        fullReports = full && load.running() == fullSize ? fullReports + 1 : full ? 1 : 0;
+        fullSize = load.running();
+        if (fullReports >= FULL_REPORTS) {
+            limit = Math.clamp(fullSize, LEAST, limit);
             batchSeen = true;
         }
     }
--- a/core/src/main/java/org/verbenatally/policy/HeadroomRouting.java
+++ b/core/src/main/java/org/verbenatally/policy/HeadroomRouting.java
@@ -10,7 +10,7 @@
 import org.verbenatally.policy.TargetSnapshot.Estimate;
 
 /**
- * Sends a request where the predicted peak of key-value memory and the batch leave the most room. Patient work waits if
+ * Sends a request where the expected peak of key-value memory and the batch leave the most room. Patient work waits if
  * its growth would overcommit the memory of every candidate, or if it would take the last places, which are kept for
  * urgent work.
  *
@@ -19,8 +19,6 @@
  * @param affinity weight of a fully cached prompt against an empty target
  */
 record HeadroomRouting(double reserve, double noise, double affinity) implements RoutingPolicy {
-    /** Predicted peaks below this share of the memory are never held back; a forecast can be far too high. */
-    private static final double ALWAYS_FREE = 0.5;
     /** Score of a target that has not reported lately, on top of its known load. */
     private static final double UNKNOWN = 0.4;
 
@@ -66,24 +64,14 @@
         return target.claim().allows(free);
     }
 
-    /** Returns how many requests like this one fit into the memory that is free at the predicted peak. */
+    /** Returns how many requests like this one fit into the memory that is expected to be free. */
     private static double freeMemory(TargetSnapshot target, RoutingInput input) {
         Estimate estimate = target.estimate();
-        double need = need(estimate, input);
         if (estimate.kvCapacityTokens() <= 0 || estimate.requests() < 1) {
             return Double.MAX_VALUE;
         }
         double usable = estimate.kvCapacityTokens() * (1 - estimate.margin());
-        double free = usable - estimate.peakTokens();
-        double certain = ALWAYS_FREE * estimate.kvCapacityTokens() - estimate.kvTokens();
-        return Math.max(free, certain) / need;
-    }
-
-    /** Returns the tokens that the request adds to the predicted peak. */
-    private static double need(Estimate estimate, RoutingInput input) {
-        double steps = estimate.stepsToPeak();
-        double grown = steps > 0 ? Math.min(input.expectedTokens(), steps) : input.expectedTokens();
-        return Math.max(1, input.promptTokens() + grown);
+        return estimate.forecast().room(input.promptTokens(), input.expectedTokens(), usable);
     }
 
     private static double memoryLoad(TargetSnapshot target, RoutingInput input) {
@@ -92,6 +80,6 @@
             return 0;
         }
         double usable = estimate.kvCapacityTokens() * (1 - estimate.margin());
-        return (estimate.peakTokens() + need(estimate, input)) / usable;
+        return estimate.forecast().peakWith(input.promptTokens(), input.expectedTokens()) / usable;
     }
 }
--- a/core/src/main/java/org/verbenatally/policy/KvForecast.java
+++ b/core/src/main/java/org/verbenatally/policy/KvForecast.java
@@ -1,64 +1,62 @@
 package org.verbenatally.policy;
 
-import java.util.Arrays;
-
 /**
- * Predicts the peak of key-value memory on one engine: all requests grow by a token a step until they finish and
- * release their memory. Not safe for use by several threads.
+ * Expected use of key-value memory on one engine after some more decoding steps, if no further request is sent there. A
+ * request grows by a token a step and releases its memory when it ends; ends are taken as memoryless with the expected
+ * remaining length as mean. Taking that length as certain instead would predict far too high a peak, as it lets every
+ * request reach its full size before any shorter one ends.
  */
 final class KvForecast {
-    /** Requests as (remaining tokens, held tokens, weight); weights above 1 stand for several equal requests. */
-    private double[][] rows = new double[32][];
-
-    private int size;
-    private double peak;
-    private double steps;
-
-    /** Starts a new forecast. */
-    void clear() {
-        size = 0;
-    }
-
-    /** Adds requests that hold some tokens each and are expected to add some more each. */
+    /** Decoding steps at which the forecast is made. At 35 ms a step, they cover two minutes. */
+    private static final int[] STEPS = {0, 50, 100, 200, 400, 800, 1600, 3200};
+
+    private final double[] tokens = new double[STEPS.length];
+
+    /**
+     * Adds requests that hold some tokens each and are expected to add some more each.
+     *
+     * @param held tokens that each holds
+     * @param remaining tokens that each is expected to add, positive
+     * @param weight number of such requests
+     */
     void add(double held, double remaining, double weight) {
-        if (size == rows.length) {
-            rows = Arrays.copyOf(rows, 2 * size);
-        }
-        if (rows[size] == null) {
-            rows[size] = new double[3];
+        for (int i = 0; i < STEPS.length; i++) {
+            tokens[i] += weight * expected(i, held, remaining);
         }
-        rows[size][0] = remaining;
-        rows[size][1] = held;
-        rows[size][2] = weight;
-        size++;
     }
 
-    /** Computes the forecast for the requests added. */
-    void compute() {
-        // Just before the request with the i-th longest remainder finishes, exactly the i longest are still there.
-        Arrays.sort(rows, 0, size, (a, b) -> Double.compare(b[0], a[0]));
-        double weight = 0;
-        double held = 0;
-        peak = 0;
-        steps = 0;
-        for (int i = 0; i < size; i++) {
-            weight += rows[i][2];
-            held += rows[i][1] * rows[i][2];
-            double then = held + weight * rows[i][0];
-            if (then > peak) {
-                peak = then;
-                steps = rows[i][0];
-            }
-        }
+    private static double expected(int i, double held, double remaining) {
+        return (held + STEPS[i]) * Math.exp(-STEPS[i] / remaining);
     }
 
-    /** Returns the largest number of tokens that the requests are expected to hold at one time. */
+    /** Returns the largest expected use of memory, in tokens. */
     double peak() {
+        double peak = 0;
+        for (double t : tokens) {
+            peak = Math.max(peak, t);
+        }
         return peak;
     }
 
-    /** Returns the decoding steps until that peak. */
-    double steps() {
-        return steps;
+    /** Returns the largest expected use of memory with one more request, in tokens. */
+    double peakWith(double held, double remaining) {
+        double peak = 0;
+        for (int i = 0; i < STEPS.length; i++) {
+            peak = Math.max(peak, tokens[i] + expected(i, held, remaining));
+        }
+        return peak;
+    }
+
+    /** Returns how many requests fit beside the present ones into a memory of some tokens; may be negative. */
+    double room(double held, double remaining, double memory) {
+        double room = Double.MAX_VALUE;
+        for (int i = 0; i < STEPS.length; i++) {
+            double need = expected(i, held, remaining);
+            // What is left of the request by then is too little to decide on.
+            if (need > 1) {
+                room = Math.min(room, (memory - tokens[i]) / need);
+            }
+        }
+        return room;
     }
 }
--- a/core/src/main/java/org/verbenatally/policy/PolicySuite.java
+++ b/core/src/main/java/org/verbenatally/policy/PolicySuite.java
@@ -51,7 +51,8 @@
             case "fewest-in-flight" -> baseline(name, BaselineRouting.fewestInFlight());
             case "lowest-reported" -> baseline(name, BaselineRouting.lowestReported());
             case "two-choices" -> baseline(name, BaselineRouting.twoChoices());
-            case "key-value-pressure" -> baseline(name, BaselineRouting.keyValuePressure());
+            case "key-value-pressure" -> baseline(name, BaselineRouting.keyValuePressure(false));
+            case "key-value-pressure-corrected" -> baseline(name, BaselineRouting.keyValuePressure(true));
             default ->
                 throw new IllegalArgumentException("policy must be one of " + String.join(", ", NAMES) + ": " + name);
         };
--- a/core/src/main/java/org/verbenatally/policy/TargetSnapshot.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetSnapshot.java
@@ -57,18 +57,12 @@
      *
      * @param requests requests in flight over all entries
      * @param kvTokens tokens held in key-value memory, those of requests that still wait there included
-     * @param peakTokens largest number of tokens that those requests are expected to hold at one time
-     * @param stepsToPeak decoding steps until then
+     * @param forecast what those requests are expected to hold from now on
      * @param kvCapacityTokens size of the key-value memory in tokens; 0 if it is not known
      * @param margin share of the memory to keep free, from the preemptions seen
      */
     public record Estimate(
-            double requests,
-            double kvTokens,
-            double peakTokens,
-            double stepsToPeak,
-            double kvCapacityTokens,
-            double margin) {}
+            double requests, double kvTokens, KvForecast forecast, double kvCapacityTokens, double margin) {}
 
     /**
      * The part of a target's free places that this entry may take before it hears again what its peers have sent. It
@@ -85,9 +79,4 @@
             return free >= 1 && Math.floor((free + taken) / entries + draw) > taken;
         }
     }
-
-    /** Returns the share of the concurrency limit in use. */
-    public double requestLoad() {
-        return estimate.requests() / concurrencyLimit;
-    }
 }
--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -30,7 +30,7 @@
 
     private final Set<RunningFlight> flights = new LinkedHashSet<>();
     private final LoadTrace trace = new LoadTrace();
-    private final KvForecast forecast = new KvForecast();
+    private KvForecast forecast = new KvForecast();
     private final ConcurrencyLimit limit;
 
     private volatile Target target;
@@ -231,7 +231,7 @@
         }
         LoadReport report = last == null ? null : loadReport(last, now);
         long capacity = last == null ? 0 : last.load().kvCapacityTokens();
-        Estimate estimate = new Estimate(requests, tokens, forecast.peak(), forecast.steps(), capacity, limit.margin());
+        Estimate estimate = new Estimate(requests, tokens, forecast, capacity, limit.margin());
         int max = target.maxConcurrent();
         return new TargetSnapshot(
                 target.id(),
@@ -258,20 +258,20 @@
     }
 
     private void computeForecast(long now, FlightView view, double requests, double tokens) {
-        forecast.clear();
+        KvForecast made = new KvForecast();
         growth = 0;
         for (RunningFlight flight : flights) {
             double remaining = flight.expectedRemaining();
             growth += remaining;
-            forecast.add(flight.heldTokens(), remaining, 1);
+            made.add(flight.heldTokens(), remaining, 1);
         }
         double others = requests - flights.size();
         if (others > 0) {
             double held = Math.max(0, tokens - ownTokens) / others;
             double[] remaining = view.remainingQuantiles();
-            Arrays.stream(remaining).forEach(r -> forecast.add(held, r, others / remaining.length));
+            Arrays.stream(remaining).forEach(r -> made.add(held, r, others / remaining.length));
         }
-        forecast.compute();
+        forecast = made;
         forecastNanos = now;
         forecastValid = true;
     }
--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/standin/SteppedEngine.java
@@ -0,0 +1,85 @@
+package org.verbenatally.standin;
+
+import java.util.List;
+import java.util.Objects;
+
+import org.verbenatally.core.GenerationId;
+
+/**
+ * The batching and memory model of {@link EngineStandin} without clocks and connections: the caller decides when a step
+ * ends. For trials of policies in memory. Not safe for use by several threads.
+ */
+public final class SteppedEngine {
+    private final EngineOptions options;
+    private final BatchScheduler scheduler;
+    private long arrivals;
+
+    /** One generation in the engine. */
+    public static final class Generation {
+        private final Sequence sequence;
+
+        private Generation(Sequence sequence) {
+            this.sequence = sequence;
+        }
+
+        /** Tells whether all tokens were produced. */
+        public boolean isDone() {
+            return sequence.isFinal();
+        }
+    }
+
+    /** Creates an idle engine. */
+    public SteppedEngine(EngineOptions options) {
+        this.options = Objects.requireNonNull(options, "options");
+        this.scheduler = new BatchScheduler(new PrefixCache((type, block) -> {}));
+    }
+
+    /** Adds a generation; {@code [len=N]} in the prompt sets the length of its output. */
+    public Generation add(String organisation, String prompt, int priority, int maxTokens) {
+        Sequence sequence = new Sequence(
+                GenerationId.random(), organisation, prompt, priority, maxTokens, options.defaultLength(), ++arrivals);
+        scheduler.add(sequence);
+        return new Generation(sequence);
+    }
+
+    /** Starts a step and returns its duration, in milliseconds. */
+    public double beginStep() {
+        return scheduler.beginStep(options);
+    }
+
+    /** Ends the step and tells how many sequences produced a token in it. */
+    public int endStep() {
+        List<Sequence> emitted = scheduler.endStep(options);
+        return emitted.size();
+    }
+
+    /** Returns the tokens that a generation has produced. */
+    public int tokens(Generation generation) {
+        return generation.sequence.generated;
+    }
+
+    /** Tells whether there is nothing to do. */
+    public boolean isIdle() {
+        return scheduler.isIdle();
+    }
+
+    /** Returns the generations in the batch. */
+    public int running() {
+        return scheduler.running();
+    }
+
+    /** Returns the generations that wait. */
+    public int waiting() {
+        return scheduler.waiting();
+    }
+
+    /** Returns the tokens held in key-value memory. */
+    public int usedTokens() {
+        return scheduler.usedTokens();
+    }
+
+    /** Returns the preemptions so far. */
+    public long preemptions() {
+        return scheduler.preemptions();
+    }
+}
