Count the streams that a trial waits for

Cause: A wait for tokens of all streams passed before any was recorded as sent. Change: The trial counts the streams that it sent. Conclusion: the wait names the number of streams.

--- a/tools/src/main/java/org/verbenatally/faults/Trial.java
+++ b/tools/src/main/java/org/verbenatally/faults/Trial.java
@@ -21,7 +21,6 @@
 import org.verbenatally.core.KindName;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.history.HistoryRecord.Answer;
-import org.verbenatally.history.HistoryRecord.Sent;
 import org.verbenatally.history.HistoryRecord.TokenSeen;
 
 /** One run of a fault case: its cluster, its callers, and what the case expects beyond the invariants. */
@@ -38,6 +37,7 @@
     private final Map<String, Object> figures = new LinkedHashMap<>();
     private final List<String> failures = new ArrayList<>();
     private final AtomicInteger works = new AtomicInteger();
+    private final AtomicInteger streams = new AtomicInteger();
     private final long seed;
 
     Trial(Cluster cluster, long seed) {
@@ -122,6 +122,9 @@
 
     /** Sends a copy to an entry without waiting for its answer. */
     CompletableFuture<Answer> send(Work work, int entry) {
+        if (work.streamed()) {
+            streams.incrementAndGet();
+        }
         return CompletableFuture.supplyAsync(() -> caller.send(work, entry), CALLERS);
     }
 
@@ -175,15 +178,18 @@
         Cluster.await(what, LIMIT, condition);
     }
 
-    /** Waits until callers have received a number of tokens of every guide sent so far. */
+    /** Waits until callers have received a number of tokens of every stream that this trial has sent so far. */
     void awaitTokensOfAll(int tokens) {
-        await(tokens + " tokens of every guide", () -> {
-            Map<String, Long> seen = cluster.history().all(TokenSeen.class).stream()
-                    .collect(Collectors.groupingBy(TokenSeen::request, Collectors.counting()));
-            return cluster.history().all(Sent.class).stream()
-                    .filter(Sent::streamed)
-                    .allMatch(sent -> seen.getOrDefault(sent.request(), 0L) >= tokens);
-        });
+        int expected = streams.get();
+        await(
+                tokens + " tokens of " + expected + " streams",
+                () -> cluster.history().all(TokenSeen.class).stream()
+                                .collect(Collectors.groupingBy(TokenSeen::request, Collectors.counting()))
+                                .values()
+                                .stream()
+                                .filter(count -> count >= tokens)
+                                .count()
+                        >= expected);
     }
 
     /** Returns the ids of the work that a target has started. */
