Wait with a limit in a way that allows further waits

Cause: Future.await(timeout) of Vert.x 5.0.7 leaves the task unable to wait again: after a timeout the next await throws IllegalStateException, so a resume that timed out ended the request with an internal error and left the caller waiting. Ruled out: the relay (the bytes were dropped as ordered) and the engine stand-in (it still held the generation).

--- a/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
@@ -1,7 +1,6 @@
 package org.verbenatally.entry.caller;
 
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Promise;
@@ -9,6 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import org.jboss.logging.Logger;
+import org.verbenatally.entry.target.TimedAwait;
 
 /** Writes server-sent events to one caller, with keep-alives and a bounded buffer. */
 final class EventWriter {
@@ -77,7 +77,7 @@
             return;
         }
         try {
-            drained.future().await(SLOW_READER.toMillis(), TimeUnit.MILLISECONDS);
+            TimedAwait.await(drained.future(), SLOW_READER);
         } catch (TimeoutException e) {
             LOG.infof("stream: dropping a reader that took no data for %d ms", SLOW_READER.toMillis());
             drop();
--- a/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
@@ -16,6 +16,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.entry.operator.RequestTrace;
+import org.verbenatally.entry.target.TimedAwait;
 
 /** One request of a caller with its answer. Used by one virtual-thread task. */
 final class Exchange {
@@ -138,7 +139,7 @@
         request.exceptionHandler(whole::tryFail);
         request.endHandler(v -> whole.tryComplete(collected));
         try {
-            return whole.future().await(BODY_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+            return TimedAwait.await(whole.future(), BODY_TIMEOUT);
         } catch (TimeoutException e) {
             throw new ProblemException(
                     Problem.refused(REQUEST_TIMEOUT, "body-timeout", Step.ACCEPT, "the body did not arrive in time"));
--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -3,7 +3,6 @@
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
@@ -72,7 +71,7 @@
         Future<HttpClientRequest> future =
                 client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
         try {
-            return future.await(CONNECT_TIMEOUT.toMillis() + 500, TimeUnit.MILLISECONDS);
+            return TimedAwait.await(future, CONNECT_TIMEOUT.plusMillis(500));
         } catch (TimeoutException e) {
             future.onSuccess(HttpClientRequest::reset);
             throw new TargetFailure(target.id(), TargetFailure.Cause.NOT_CONNECTED, "connect timed out", e);
@@ -100,7 +99,7 @@
         Future<HttpClientResponse> answer =
                 sent.onSuccess(response -> response.exceptionHandler(e -> {}).pause());
         try {
-            return answer.await(Math.max(1, silence.toMillis()), TimeUnit.MILLISECONDS);
+            return TimedAwait.await(answer, silence);
         } catch (TimeoutException e) {
             request.reset();
             throw new TargetFailure(
@@ -131,7 +130,7 @@
         response.endHandler(v -> whole.tryComplete(collected));
         response.resume();
         try {
-            return whole.future().await(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+            return TimedAwait.await(whole.future(), timeout);
         } catch (TimeoutException e) {
             request.reset();
             throw new TargetFailure(target.id(), TargetFailure.Cause.SILENT, "answer did not end in time", e);
--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/target/TimedAwait.java
@@ -0,0 +1,25 @@
+package org.verbenatally.entry.target;
+
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+import io.vertx.core.Future;
+
+/**
+ * Waits for a future with a limit, in a virtual-thread task. {@link Future#await(long, TimeUnit)} of Vert.x 5.0.7 must
+ * not be used: after a timeout the next wait of the same task fails with an {@link IllegalStateException}.
+ */
+public final class TimedAwait {
+    private TimedAwait() {}
+
+    /**
+     * Waits until the future has completed.
+     *
+     * @throws TimeoutException if it has not completed within the limit, which is at least one millisecond
+     */
+    public static <T> T await(Future<T> future, Duration limit) throws TimeoutException {
+        return future.timeout(Math.max(1, limit.toMillis()), TimeUnit.MILLISECONDS)
+                .await();
+    }
+}
