--- /dev/null
+++ b/core/src/test/java/org/verbenatally/peer/MembershipTest.java
@@ -0,0 +1,206 @@
+package org.verbenatally.peer;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.peer.MemberInfo.Status;
+import org.verbenatally.peer.MemberRow.Run;
+import org.verbenatally.time.PausableTimers;
+import org.verbenatally.wire.MemberState;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class MembershipTest {
+    private final PausableTimers timers = new PausableTimers();
+
+    @AfterEach
+    @AfterTry
+    void close() {
+        timers.close();
+    }
+
+    private static Run run(String id, long incarnation) {
+        return new Run(new InstanceId(id), new Incarnation(incarnation));
+    }
+
+    private static MemberRow row(Run run, MemberState state, long heartbeat, Optional<Run> successor) {
+        var domain = new FailureDomain("Bole");
+        return new MemberRow(
+                run, new Address("127.0.0.1", 1), domain, "default", state, heartbeat, ConfigVersion.NONE, successor);
+    }
+
+    private static MemberRow live(String id, long incarnation, long heartbeat) {
+        return row(run(id, incarnation), MemberState.LIVE, heartbeat, Optional.empty());
+    }
+
+    private Membership table() {
+        return new Membership(live("self", 1, 1), PeerTimings.standard(), timers);
+    }
+
+    private static List<MemberRow> content(Membership table) {
+        return table.changes(0, 0, 0, Membership.LOCAL - 1).rows();
+    }
+
+    @Provide
+    Arbitrary<List<MemberRow>> rows() {
+        Arbitrary<Run> runs = Combinators.combine(
+                        Arbitraries.of("a", "b", "c"), Arbitraries.longs().between(1, 3))
+                .as(MembershipTest::run);
+        return Combinators.combine(
+                        runs,
+                        Arbitraries.of(MemberState.values()),
+                        Arbitraries.longs().between(0, 5),
+                        runs.optional())
+                .as(MembershipTest::row)
+                .list()
+                .ofMaxSize(12);
+    }
+
+    /** Guards against members that keep different tables because gossip reached them in another order or twice. */
+    @Property(seed = "11", tries = 300)
+    void mergeIsCommutativeAndIdempotent(@ForAll("rows") List<MemberRow> rows, @ForAll long seed) {
+        Membership first = table();
+        rows.forEach(r -> first.merge(List.of(r), 1));
+        List<MemberRow> shuffled = new ArrayList<>(rows);
+        shuffled.addAll(rows);
+        Collections.shuffle(shuffled, new Random(seed));
+        Membership second = table();
+        second.merge(shuffled, 2);
+        assertThat(content(second)).isEqualTo(content(first));
+        second.merge(content(first), 3);
+        assertThat(content(second)).isEqualTo(content(first));
+    }
+
+    /** Guards against an old frame that brings a dead run back or makes a live member look silent. */
+    @Property(seed = "12", tries = 300)
+    void mergeNeverLowersIncarnationOrHeartbeat(@ForAll("rows") List<MemberRow> rows) {
+        Membership table = table();
+        Map<InstanceId, MemberRow> before = new HashMap<>();
+        for (MemberRow r : rows) {
+            table.merge(List.of(r), 1);
+            MemberRow now = table.current(r.run().instance()).orElseThrow();
+            MemberRow old = before.put(now.run().instance(), now);
+            if (old != null) {
+                assertThat(now.run().incarnation())
+                        .isGreaterThanOrEqualTo(old.run().incarnation());
+                assertThat(!now.run().equals(old.run()) || now.heartbeat() >= old.heartbeat())
+                        .isTrue();
+            }
+        }
+    }
+
+    /** Guards against members that become suspect or gone too early, or are never reported as gone. */
+    @Test
+    void silentMemberIsSuspectThenGoneThenForgottenForGood() {
+        Membership table = table();
+        table.merge(List.of(live("a", 1, 5)), 1);
+        assertThat(status(table, "a")).isEqualTo(Status.LIVE);
+        timers.advance(Duration.ofMillis(3_100));
+        assertThat(status(table, "a")).isEqualTo(Status.SUSPECT);
+        timers.advance(Duration.ofSeconds(12));
+        assertThat(table.tick()).containsExactly(new InstanceId("a"));
+        assertThat(table.tick()).isEmpty();
+        timers.advance(Duration.ofMinutes(10));
+        table.tick();
+        table.merge(List.of(live("a", 1, 5)), 2);
+        assertThat(table.current(new InstanceId("a"))).isEmpty();
+        table.merge(List.of(live("a", 1, 6)), 2);
+        assertThat(status(table, "a")).isEqualTo(Status.LIVE);
+    }
+
+    /** Guards against a resumed process that takes its own pause for the silence of all others. */
+    @Test
+    void pauseOfThisProcessMakesNobodySuspect() {
+        Membership table = table();
+        table.merge(List.of(live("a", 1, 5)), 1);
+        timers.advance(Duration.ofSeconds(4));
+        assertThat(table.isStale()).isFalse();
+        timers.pause();
+        timers.advance(Duration.ofMinutes(5));
+        timers.resume(Duration.ofMinutes(5));
+        assertThat(status(table, "a")).isEqualTo(Status.LIVE);
+        assertThat(table.tick()).isEmpty();
+        assertThat(table.isStale()).isTrue();
+        timers.advance(Duration.ofSeconds(4));
+        assertThat(table.isStale()).isFalse();
+        assertThat(status(table, "a")).isEqualTo(Status.SUSPECT);
+    }
+
+    /** Guards against keys that are answered as unknown although their owner named a successor before it restarted. */
+    @Test
+    void successorOfAnEarlierRunIsRememberedForThirtyMinutes() {
+        Membership table = table();
+        table.merge(
+                List.of(
+                        row(run("a", 1), MemberState.LEFT, 9, Optional.of(run("b", 1))),
+                        row(run("b", 1), MemberState.LEFT, 9, Optional.of(run("c", 1))),
+                        live("c", 1, 1),
+                        live("a", 2, 1),
+                        live("b", 2, 1)),
+                1);
+        assertThat(table.keyOwner(run("a", 1)).map(MemberRow::run)).contains(run("c", 1));
+        assertThat(table.keyOwner(run("a", 2)).map(MemberRow::run)).contains(run("a", 2));
+        assertThat(table.keyOwner(run("a", 3))).isEmpty();
+        timers.advance(Duration.ofMinutes(29));
+        table.merge(List.of(live("c", 1, 2)), 1);
+        table.tick();
+        assertThat(table.keyOwner(run("a", 1))).isPresent();
+        timers.advance(Duration.ofMinutes(2));
+        table.merge(List.of(live("c", 1, 3)), 1);
+        table.tick();
+        assertThat(table.keyOwner(run("a", 1))).isEmpty();
+    }
+
+    /** Guards against rows that only a full exchange would bring: a beat of an unknown row makes the member ask. */
+    @Test
+    void unknownBeatIsAskedForOnce() {
+        Membership table = table();
+        Membership other = new Membership(live("other", 1, 1), PeerTimings.standard(), timers);
+        var beats = other.changes(other.serial(), 0, 0, 9).beats();
+        var wanted = table.apply(beats, 0, 1);
+        assertThat(wanted).hasSize(1);
+        assertThat(table.apply(beats, 0, 2)).isEmpty();
+        table.merge(other.rows(wanted), 1);
+        assertThat(status(table, "other")).isEqualTo(Status.LIVE);
+    }
+
+    /** Guards against false suspects in a large fleet, where heartbeats are sent less often. */
+    @Test
+    void suspectTimeoutIsAtLeastSixBeatPeriods() {
+        var t = PeerTimings.standard();
+        for (int n : new int[] {1, 8, 64, 65, 128, 330, 1_000}) {
+            assertThat(t.suspectAfter(n)).isGreaterThanOrEqualTo(t.beatPeriod(n).multipliedBy(6));
+            assertThat(t.goneAfter(n)).isGreaterThan(t.suspectAfter(n));
+        }
+        assertThat(t.suspectAfter(8)).isEqualTo(Duration.ofSeconds(3));
+        assertThat(t.goneAfter(8)).isEqualTo(Duration.ofSeconds(15));
+    }
+
+    private static Status status(Membership table, String id) {
+        return table.members().stream()
+                .filter(m -> m.instance().value().equals(id))
+                .findFirst()
+                .orElseThrow()
+                .status();
+    }
+}
