--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -35,6 +36,7 @@
     private static final int MAX_VERTICLES = 4;
 
     private static final int MAX_HEADER_BYTES = 8_192;
+    private static final Duration TLS_CHECK = Duration.ofSeconds(10);
     private static final int MAX_LINE_BYTES = 4_096;
 
     private final Vertx vertx;
@@ -42,6 +44,7 @@
     private final KeyedCalls keyedCalls;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
     private final AtomicInteger open = new AtomicInteger();
+    private final IdleConnections idle = new IdleConnections();
     private volatile int port;
 
     private enum Phase {
@@ -102,6 +105,8 @@
         metrics.gauge("verbenatally.open.requests", open::get);
         metrics.gauge("verbenatally.open.generations", () -> parts.runs().count());
         metrics.gauge("verbenatally.used.keys", () -> keyedCalls.store().used());
+        metrics.gauge("verbenatally.connections", idle::count);
+        timer.every(Duration.ofSeconds(5), tick -> idle.closeIdle());
         timer.every(
                 Duration.ofMinutes(1),
                 tick -> config.deployment()
@@ -115,29 +120,40 @@
 
     /** Starts to listen; completes with the port. */
     public Future<Integer> listen(ListenerSettings settings) {
+        Optional<CallerTls> tls = Optional.ofNullable(settings.getTls()).map(CallerTls::new);
+        tls.ifPresent(t ->
+                parts.timer().every(TLS_CHECK, tick -> Thread.ofVirtual().start(t::reloadIfChanged)));
         int verticles = Math.clamp(Runtime.getRuntime().availableProcessors(), 1, MAX_VERTICLES);
         DeploymentOptions options = new DeploymentOptions()
                 .setThreadingModel(ThreadingModel.VIRTUAL_THREAD)
                 .setInstances(verticles);
-        return vertx.deployVerticle(() -> new Verticle(settings), options).map(id -> port);
+        return vertx.deployVerticle(() -> new Verticle(settings, tls), options).map(id -> port);
     }
 
     private final class Verticle extends VerticleBase {
         private final ListenerSettings settings;
+        private final Optional<CallerTls> tls;
 
-        Verticle(ListenerSettings settings) {
+        Verticle(ListenerSettings settings, Optional<CallerTls> tls) {
             this.settings = settings;
+            this.tls = tls;
         }
 
         @Override
         public Future<?> start() {
             CallerHandler handler = new CallerHandler(parts, keyedCalls, vertx, () -> phase.get() == Phase.SERVING);
-            HttpServer server = vertx.createHttpServer(options(settings));
+            HttpServerOptions options = options();
+            tls.ifPresent(t -> t.apply(options));
+            HttpServer server = vertx.createHttpServer(options);
+            tls.ifPresent(t -> t.add(server));
+            server.connectionHandler(idle::opened);
             server.requestHandler(request -> {
                 open.incrementAndGet();
+                idle.begin(request.connection());
                 try {
                     handler.handle(request);
                 } finally {
+                    idle.end(request.connection());
                     open.decrementAndGet();
                 }
             });
@@ -147,7 +163,7 @@
         }
     }
 
-    private static HttpServerOptions options(ListenerSettings settings) {
+    private static HttpServerOptions options() {
         return new HttpServerOptions()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
--- /dev/null
+++ b/entry/src/test/java/org/verbenatally/entry/target/LoadPollerTest.java
@@ -0,0 +1,89 @@
+package org.verbenatally.entry.target;
+
+import java.util.List;
+import java.util.Optional;
+
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenatally.config.Target;
+import org.verbenatally.config.TargetType;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.ModelName;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.policy.ReportedLoad;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+class LoadPollerTest {
+    private static final Target ENGINE = target(TargetType.ENGINE);
+
+    private static Target target(TargetType type) {
+        return new Target(
+                new TargetId("t"),
+                type,
+                new Address("127.0.0.1", 1),
+                new FailureDomain("Bole"),
+                List.of(),
+                "serve",
+                false,
+                8,
+                false);
+    }
+
+    private static JsonObject report() {
+        return new JsonObject("{\"target\":\"t\",\"incarnation\":7,\"atMs\":5,\"running\":1,\"waiting\":2,"
+                + "\"kvUsedTokens\":3,\"kvCapacityTokens\":4,\"preemptions\":5,\"models\":[\"m\"],\"leaving\":true}");
+    }
+
+    /** Guards against fields that are mixed up. */
+    @Test
+    void reportIsReadFieldByField() {
+        ReportedLoad load = LoadPoller.read(ENGINE, report());
+
+        assertThat(load.incarnation().value()).isEqualTo(7);
+        assertThat(List.of(load.running(), load.waiting())).containsExactly(1, 2);
+        assertThat(List.of(load.atMs(), load.kvUsedTokens(), load.kvCapacityTokens(), load.preemptions()))
+                .containsExactly(5L, 3L, 4L, 5L);
+        assertThat(load.models()).containsExactly(new ModelName("m"));
+        assertThat(load.leaving()).isTrue();
+    }
+
+    /** Guards against a report that makes a target look free, or that belongs to another target. */
+    @ParameterizedTest
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "target           | \"other\"",
+                "running          | -1",
+                "running          | 99999999999",
+                "waiting          | 1.5",
+                "kvUsedTokens     | \"3\"",
+                "kvCapacityTokens | 99999999999999999999999",
+                "kvCapacityTokens | null",
+                "preemptions      | -5",
+                "incarnation      | 0",
+                "atMs             | -1",
+            })
+    void invalidFieldIsNamed(String field, String value) {
+        JsonObject json = report();
+        json.put(field, new JsonObject("{\"v\":" + value + "}").getValue("v"));
+
+        assertThatThrownBy(() -> LoadPoller.read(ENGINE, json))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageStartingWith(field);
+    }
+
+    /** Guards against plain services that are ignored because they report less than engines. */
+    @Test
+    void plainServiceMayLeaveOutWhatOnlyEnginesHave() {
+        ReportedLoad load =
+                LoadPoller.read(target(TargetType.SERVICE), new JsonObject("{\"running\":2,\"leaving\":false}"));
+
+        assertThat(load.running()).isEqualTo(2);
+        assertThat(Optional.of(load.leaving())).contains(false);
+    }
+}
