Let peers connect to an advertised address

Cause: The member table carries the address that an entry listens on, so a relay on a peer link is bypassed. Change: Setting peers.advertised (host:port, optional) replaces it in the entry's own row; the harness sets it to the relay's address. Conclusion: peer links can be cut and silenced; a deployment behind address translation can use it too.

--- a/core/src/main/java/org/verbenatally/peer/PeerOptions.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerOptions.java
@@ -18,8 +18,9 @@
  * @param failureDomain failure domain it is in
  * @param region region it is in
  * @param deployment name of the deployment; links to instances of another one are refused
- * @param host IP number to listen on; peers connect to the same number
+ * @param host IP number to listen on
  * @param port port to listen on; 0 takes a free one
+ * @param advertised address that peers connect to; empty: the one listened on
  * @param seeds addresses to try first
  * @param platform the platform's address; empty: no platform
  * @param tls key and certificates for mutual TLS; empty: plain text
@@ -33,6 +34,7 @@
         String deployment,
         String host,
         int port,
+        Optional<Address> advertised,
         List<Address> seeds,
         Optional<Address> platform,
         Optional<TlsSettings> tls,
@@ -59,6 +61,7 @@
                 s.getDeployment(),
                 s.getPeers().getHost(),
                 s.getPeers().getPort(),
+                Optional.ofNullable(s.getPeers().getAdvertised()).map(Address::parse),
                 s.getPeers().getSeeds().stream().map(Address::parse).toList(),
                 Optional.of(
                         new Address(s.getPlatform().getHost(), s.getPlatform().getPort())),
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -76,7 +76,7 @@
         self = new Run(options.instance(), Incarnation.startedAt(timers.epochMillis()));
         var own = new MemberRow(
                 self,
-                new Address(options.host(), server.actualPort()),
+                options.advertised().orElseGet(() -> new Address(options.host(), server.actualPort())),
                 options.failureDomain(),
                 options.region(),
                 MemberState.LIVE,
--- a/tools/src/main/java/org/verbenatally/faults/Cluster.java
+++ b/tools/src/main/java/org/verbenatally/faults/Cluster.java
@@ -144,8 +144,10 @@
                     .put("seed", options.seed() + i);
             settings.putObject("callers").put("host", "127.0.0.1").put("port", 0);
             settings.putObject("operator").put("host", "127.0.0.1").put("port", 0);
-            ObjectNode peers =
-                    settings.putObject("peers").put("host", "127.0.0.1").put("port", ports.get(i));
+            ObjectNode peers = settings.putObject("peers")
+                    .put("host", "127.0.0.1")
+                    .put("port", ports.get(i))
+                    .put("advertised", peer(i, ports.get(i)).toString());
             for (int other = 0; other < options.entries(); other++) {
                 if (other != i) {
                     peers.withArray("seeds").add(peer(other, ports.get(other)).toString());
