Let a key successor decide only after its announcement; stop passing on hearsay about leaving targets

Cause: a successor decided about a key table as soon as its last part had arrived. If the confirmation was lost, the leaving owner went on to decide as well or picked another successor, and one key could run twice. Separately, entries passed on what peers had said about leaving targets, so a target that restarted under the same id was marked again by each peer in turn and got no more work. Change: a table is active once the sender's run is seen to name this instance as its successor; until then calls go to the owner. An owner stops for good before it announces. Peers are told only of targets that said so themselves or that the platform lists; the list and each peer replace what they said before. Before / after: KeyedCallsTest.successorWithoutAnAnnouncementDoesNotDecide and onlyTheAnnouncedSuccessorDecides: 2 runs of one key with the check disabled -> 1. TargetTableLeavingTest did not compile against the old table; the old code has no way to unmark. Conclusion: found by reading; no fault case covers a lost confirmation between processes yet.

--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -35,7 +35,11 @@
 
     private volatile Target target;
     private volatile Received received;
+    /** The target itself said that it is leaving, in a report or a refusal. */
     private volatile boolean leaving;
+    /** The platform's list or a peer says that it is leaving. */
+    private volatile boolean leavingElsewhere;
+
     private volatile long refusedNanos;
     private volatile boolean refusedOnce;
     private Optional<Incarnation> leavingRun = Optional.empty();
@@ -70,7 +74,7 @@
     /** Tells whether the target may get new work of a kind: it is not leaving and has the model loaded. */
     boolean mayRun(Kind kind) {
         Target present = target;
-        if (leaving || present.leaving() || present.type() != kind.runsOn()) {
+        if (leaving() || present.leaving() || present.type() != kind.runsOn()) {
             return false;
         }
         return kind.model().isEmpty() || hasModel(kind.model().get(), present);
@@ -98,9 +102,18 @@
     }
 
     boolean leaving() {
+        return leaving || leavingElsewhere;
+    }
+
+    /** Tells whether the target itself said so. */
+    boolean saidLeaving() {
         return leaving;
     }
 
+    void leavingElsewhere(boolean said) {
+        leavingElsewhere = said;
+    }
+
     synchronized void markLeaving() {
         if (!leaving) {
             leavingRun = Optional.ofNullable(received).map(r -> r.load().incarnation());
--- a/core/src/main/java/org/verbenatally/policy/TargetTable.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetTable.java
@@ -5,12 +5,14 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
 import org.verbenatally.config.Deployment;
@@ -43,6 +45,8 @@
     private final TimerService timer;
     private final Map<TargetId, TargetState> states = new ConcurrentHashMap<>();
     private final Map<InstanceId, Map<TargetId, TargetLoad>> peers = new HashMap<>();
+    private final Map<InstanceId, Set<TargetId>> leavingAtPeers = new HashMap<>();
+    private Set<TargetId> listedLeaving = Set.of();
     private volatile Index index = new Index(Map.of(), NONE, NONE);
 
     /** Creates an empty table on the given clock. */
@@ -74,6 +78,7 @@
         Map<ModelName, TargetState[]> arrays = new HashMap<>();
         byModel.forEach((model, list) -> arrays.put(model, list.toArray(NONE)));
         index = new Index(arrays, engines.toArray(NONE), services.toArray(NONE));
+        updateLeaving();
     }
 
     /** Takes a load report. A report that makes no sense, is out of order or for an unknown target is ignored. */
@@ -100,7 +105,9 @@
                 && load.preemptions() >= 0;
     }
 
-    /** Gives a target no new work from now on, until a new run of it reports that it is not leaving. */
+    /**
+     * Gives a target that said so itself no new work from now on, until a new run of it reports that it is not leaving.
+     */
     public void markLeaving(TargetId target) {
         TargetState state = states.get(target);
         if (state != null) {
@@ -108,10 +115,43 @@
         }
     }
 
-    /** Returns the targets that are known to be leaving. */
+    /** Takes the targets that the platform lists as leaving; replaces what the list said before. */
+    public synchronized void listedLeaving(Set<TargetId> listed) {
+        listedLeaving = Set.copyOf(listed);
+        updateLeaving();
+    }
+
+    /** Takes the targets that a peer knows to be leaving; replaces what the same peer said before. */
+    public synchronized void peerLeaving(InstanceId peer, Set<TargetId> targets) {
+        leavingAtPeers.put(peer, Set.copyOf(targets));
+        updateLeaving();
+    }
+
+    private void updateLeaving() {
+        Set<TargetId> said = new HashSet<>(listedLeaving);
+        leavingAtPeers.values().forEach(said::addAll);
+        states.forEach((id, state) -> state.leavingElsewhere(said.contains(id)));
+    }
+
+    /** Returns the targets that are known to be leaving, from whatever source. */
     public Set<TargetId> leaving() {
+        return leaving(TargetState::leaving);
+    }
+
+    /**
+     * Returns the targets that said themselves that they are leaving or that the platform lists so. Peers are told only
+     * of these: hearsay that is passed on would come back and outlive the restart of the target.
+     */
+    public synchronized Set<TargetId> knownLeaving() {
+        Set<TargetId> known = new HashSet<>(leaving(TargetState::saidLeaving));
+        known.addAll(listedLeaving);
+        known.retainAll(states.keySet());
+        return known;
+    }
+
+    private Set<TargetId> leaving(Predicate<TargetState> filter) {
         return states.entrySet().stream()
-                .filter(e -> e.getValue().leaving())
+                .filter(e -> filter.test(e.getValue()))
                 .map(Map.Entry::getKey)
                 .collect(Collectors.toUnmodifiableSet());
     }
@@ -140,10 +180,12 @@
         after.forEach((id, load) -> change(id, before.getOrDefault(id, none), load, now));
     }
 
-    /** Forgets what a peer has in flight, after it has gone. */
+    /** Forgets what a peer said, after it has gone. */
     public synchronized void forgetPeer(InstanceId peer) {
         peerLoads(peer, List.of());
         peers.remove(peer);
+        leavingAtPeers.remove(peer);
+        updateLeaving();
     }
 
     private void change(TargetId id, TargetLoad from, TargetLoad to, long now) {
--- /dev/null
+++ b/core/src/test/java/org/verbenatally/policy/TargetTableLeavingTest.java
@@ -0,0 +1,115 @@
+package org.verbenatally.policy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.config.Deployment;
+import org.verbenatally.config.Kind;
+import org.verbenatally.config.Target;
+import org.verbenatally.config.TargetType;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.time.SystemTimerService;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TargetTableLeavingTest {
+    private static final TargetId TARGET = new TargetId("service-1");
+    private static final InstanceId PEER = new InstanceId("entry-2");
+    private static final Kind KIND = new Kind(
+            new KindName("quote-check"),
+            TargetType.SERVICE,
+            Optional.empty(),
+            Optional.empty(),
+            Kind.Urgency.URGENT,
+            Kind.Value.HIGH,
+            true,
+            Kind.Delivery.WHOLE,
+            Duration.ofSeconds(10),
+            1,
+            1,
+            3);
+
+    private final SystemTimerService timer = new SystemTimerService();
+    private final TargetTable table = new TargetTable(timer);
+
+    @BeforeEach
+    void configure() {
+        Target target = new Target(
+                TARGET,
+                TargetType.SERVICE,
+                new Address("127.0.0.1", 1),
+                new FailureDomain("Bole"),
+                List.of(),
+                "serve",
+                false,
+                8,
+                false);
+        table.configure(new Deployment(
+                "abay",
+                new ConfigVersion(1),
+                8,
+                new Deployment.Limits(1024, 8),
+                new Deployment.Levels(480, 54, 0.95),
+                Map.of(),
+                Map.of(KIND.name(), KIND),
+                Map.of(TARGET, target),
+                6));
+    }
+
+    @AfterEach
+    void close() {
+        timer.close();
+    }
+
+    /** Guards against entries that remind each other for ever of a target that has restarted under the same id. */
+    @Test
+    void restartedTargetGetsWorkAgainOnceThePeersHaveSeenIt() {
+        report(1, true);
+        table.peerLeaving(PEER, Set.of(TARGET));
+        assertThat(table.anyMayRun(KIND)).isFalse();
+        assertThat(table.knownLeaving()).containsExactly(TARGET);
+
+        report(2, false);
+        assertThat(table.anyMayRun(KIND))
+                .as("a peer still says that it is leaving")
+                .isFalse();
+        assertThat(table.knownLeaving()).as("hearsay is not passed on").isEmpty();
+
+        table.peerLeaving(PEER, Set.of());
+        assertThat(table.anyMayRun(KIND)).isTrue();
+    }
+
+    /** Guards against new work on a target of which only the platform or a peer says that it is leaving. */
+    @Test
+    void listAndPeersStopNewWorkAsLongAsTheySaySo() {
+        report(1, false);
+        table.listedLeaving(Set.of(TARGET));
+        assertThat(table.anyMayRun(KIND)).isFalse();
+        assertThat(table.knownLeaving()).containsExactly(TARGET);
+
+        table.listedLeaving(Set.of());
+        table.peerLeaving(PEER, Set.of(TARGET));
+        assertThat(table.anyMayRun(KIND)).isFalse();
+
+        table.forgetPeer(PEER);
+        assertThat(table.anyMayRun(KIND)).isTrue();
+    }
+
+    private void report(long run, boolean leaving) {
+        table.report(
+                TARGET,
+                new ReportedLoad(new Incarnation(run), timer.epochMillis() + run, 0, 0, 0, 0, 0, Set.of(), leaving));
+    }
+}
--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.Collectors;
 
 import io.vertx.core.Context;
 import io.vertx.core.DeploymentOptions;
@@ -113,17 +114,12 @@
     }
 
     private void leavingTargets(List<PlatformInstance> instances) {
-        boolean news = false;
-        Set<TargetId> known = targets.leaving();
-        for (PlatformInstance instance : instances) {
-            boolean isTarget = instance.role() != PlatformInstance.Role.ENTRY;
-            if (isTarget
-                    && instance.leaving()
-                    && known.stream().noneMatch(id -> id.value().equals(instance.id()))) {
-                targets.markLeaving(new TargetId(instance.id()));
-                news = true;
-            }
-        }
+        Set<TargetId> listed = instances.stream()
+                .filter(instance -> instance.role() != PlatformInstance.Role.ENTRY && instance.leaving())
+                .map(instance -> new TargetId(instance.id()))
+                .collect(Collectors.toSet());
+        boolean news = !targets.knownLeaving().containsAll(listed);
+        targets.listedLeaving(listed);
         if (news) {
             peers.push();
         }
--- a/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
+++ b/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
@@ -105,8 +105,9 @@
             for (List<KeyTransfer> parts : store.parts()) {
                 peers.transferKeys(successor, parts, TRANSFER_TIMEOUT).get();
             }
-            peers.announceKeySuccessor(successor);
+            // From here on this instance decides no more, whatever becomes of the announcement.
             confirmed = Optional.of(successor);
+            peers.announceKeySuccessor(successor);
         } catch (ExecutionException | RuntimeException e) {
             LOG.warnf("key: transfer to %s failed: %s", successor, e.getMessage());
         } finally {
--- a/entry/src/main/java/org/verbenatally/entry/PeerBridge.java
+++ b/entry/src/main/java/org/verbenatally/entry/PeerBridge.java
@@ -55,12 +55,12 @@
 
     @Override
     public Set<TargetId> leavingTargets() {
-        return targets.leaving();
+        return targets.knownLeaving();
     }
 
     @Override
     public void onLeavingTargets(InstanceId from, Set<TargetId> leaving) {
-        leaving.forEach(targets::markLeaving);
+        targets.peerLeaving(from, leaving);
     }
 
     @Override
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
@@ -9,22 +9,27 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.ReentrantReadWriteLock;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 
 import org.jboss.logging.Logger;
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.InstanceId;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
+import org.verbenatally.peer.MemberInfo;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.KeyEntry;
 import org.verbenatally.wire.KeyTransfer;
 
 /**
  * The key tables that this instance decides about: its own, and those of instances that left and transferred theirs.
- * While tables are being transferred nothing is decided, so that the successor misses no used key.
+ * While tables are being transferred nothing is decided, so that the successor misses no used key. A successor decides
+ * only after the sender has announced it: a sender whose transfer was not confirmed decides again itself or picks
+ * another successor, and two instances that decide about one key could run it twice.
  */
 public final class KeyStore {
     private static final Logger LOG = Logger.getLogger(KeyStore.class);
@@ -41,6 +46,7 @@
     private final KeyTable own;
     private final KeyIssuer issuer;
     private final TimerService timer;
+    private final Supplier<List<MemberInfo>> members;
     private final Map<RunId, Adopted> adopted = new LinkedHashMap<>();
     private final Map<RunId, List<KeyTransfer>> staged = new HashMap<>();
     private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
@@ -49,7 +55,8 @@
 
     private record RunId(InstanceId instance, Incarnation run) {}
 
-    private record Adopted(KeyTable table, LongSupplier uptimeMs) {}
+    /** A table that was taken over; {@code active} once the sender has announced this instance as its successor. */
+    private record Adopted(KeyTable table, LongSupplier uptimeMs, RunId sender, AtomicBoolean active) {}
 
     /** Where the decision about a key is made. */
     sealed interface Place {}
@@ -63,12 +70,21 @@
     /** At the successor of this instance. */
     record Moved(InstanceId successor) implements Place {}
 
+    /** Here, once the sender of the table has announced it. */
+    record Announced() implements Place {}
+
     /** At another instance. */
     record Elsewhere() implements Place {}
 
-    KeyStore(KeyIssuer issuer, TimerService timer) {
+    /**
+     * Creates the tables of one run of this instance.
+     *
+     * @param members returns the members as this instance sees them
+     */
+    KeyStore(KeyIssuer issuer, TimerService timer, Supplier<List<MemberInfo>> members) {
         this.issuer = Objects.requireNonNull(issuer, "issuer");
         this.timer = Objects.requireNonNull(timer, "timer");
+        this.members = Objects.requireNonNull(members, "members");
         this.ownId = new RunId(issuer.self(), issuer.run());
         this.own = new KeyTable(issuer.secretBytes(), issuer::uptimeMs);
     }
@@ -89,6 +105,9 @@
         if (!isOwn && table == null) {
             return new Elsewhere();
         }
+        if (!isOwn && !isActive(table)) {
+            return new Announced();
+        }
         if (moving != null) {
             return new Moving(moving);
         }
@@ -98,6 +117,19 @@
         return new Held(isOwn ? own : table.table());
     }
 
+    private boolean isActive(Adopted table) {
+        if (!table.active().get()) {
+            boolean announced = members.get().stream()
+                    .anyMatch(member -> member.instance().equals(table.sender().instance())
+                            && member.incarnation().equals(table.sender().run())
+                            && member.keySuccessor().equals(Optional.of(ownId.instance())));
+            if (announced) {
+                table.active().set(true);
+            }
+        }
+        return table.active().get();
+    }
+
     int size() {
         return own.size();
     }
@@ -161,8 +193,11 @@
         lock.readLock().lock();
         try {
             List<List<KeyTransfer>> tables = new ArrayList<>();
-            adopted.forEach(
-                    (id, a) -> tables.add(parts(id, a.table(), a.uptimeMs().getAsLong())));
+            adopted.forEach((id, a) -> {
+                if (isActive(a)) {
+                    tables.add(parts(id, a.table(), a.uptimeMs().getAsLong()));
+                }
+            });
             tables.add(parts(ownId, own, issuer.uptimeMs()));
             return tables;
         } finally {
@@ -216,7 +251,8 @@
     }
 
     /**
-     * Takes one part of a leaving instance's table; with the last part this instance decides about its keys.
+     * Takes one part of a leaving instance's table. After the last part this instance decides about its keys as soon as
+     * the sender announces it.
      *
      * @throws IllegalArgumentException if the part is not valid
      * @throws IllegalStateException if this instance is leaving too
@@ -239,7 +275,7 @@
                 throw new IllegalArgumentException("key transfer from " + from + " has too many entries");
             }
             if (part.isLast()) {
-                complete(id, staged.remove(id));
+                complete(id, staged.remove(id), sender(from));
                 LOG.infof("key: took over %d used keys of %s", entries, id.instance());
             }
         } finally {
@@ -247,7 +283,15 @@
         }
     }
 
-    private void complete(RunId id, List<KeyTransfer> parts) {
+    private RunId sender(InstanceId from) {
+        return members.get().stream()
+                .filter(member -> member.instance().equals(from))
+                .map(member -> new RunId(from, member.incarnation()))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("key transfer from " + from + ", which is no member"));
+    }
+
+    private void complete(RunId id, List<KeyTransfer> parts, RunId sender) {
         long receivedNanos = timer.nanos();
         long uptimeAtReceipt = parts.getLast().getUptimeMs();
         LongSupplier uptime = () -> uptimeAtReceipt + (timer.nanos() - receivedNanos) / NANOS_PER_MILLI;
@@ -262,7 +306,7 @@
         if (before != null) {
             before.table().used().forEach(table::adopt);
         }
-        adopted.put(id, new Adopted(table, uptime));
+        adopted.put(id, new Adopted(table, uptime, sender, new AtomicBoolean()));
         while (adopted.size() > MAX_ADOPTED) {
             adopted.remove(adopted.keySet().iterator().next());
         }
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyedCalls.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyedCalls.java
@@ -34,6 +34,11 @@
     /** Time for the way to the owner and back, beyond the call's own deadline. */
     private static final Duration FORWARD_SLACK = Duration.ofMillis(500);
 
+    /** An announcement travels on the link on which the table came; it takes milliseconds. */
+    private static final Duration ANNOUNCEMENT_LOOK = Duration.ofMillis(50);
+
+    private static final int ANNOUNCEMENT_LOOKS = 20;
+
     private final KeyIssuer issuer;
     private final KeyStore store;
     private final CallRunner runner;
@@ -54,7 +59,7 @@
         this.runner = Objects.requireNonNull(runner, "runner");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.timer = Objects.requireNonNull(timer, "timer");
-        this.store = new KeyStore(issuer, timer);
+        this.store = new KeyStore(issuer, timer, peers::members);
         timer.every(Duration.ofSeconds(10), tick -> store.trim());
     }
 
@@ -94,6 +99,8 @@
                 mayForward
                         ? forward(moved.successor(), key, call)
                         : done(unknown(Step.FORWARD, moved.successor().value(), "the key was handed over"));
+            case KeyStore.Announced announced ->
+                mayForward ? forward(key.owner(), key, call) : afterAnnouncement(call, ANNOUNCEMENT_LOOKS);
             case KeyStore.Elsewhere elsewhere ->
                 mayForward
                         ? forward(key.owner(), key, call)
@@ -101,6 +108,24 @@
         });
     }
 
+    /** Looks again while the announcement of a transfer may be on its way. */
+    private CompletableFuture<CallResult> afterAnnouncement(CallRunner.Call call, int looks) {
+        CompletableFuture<CallResult> result = new CompletableFuture<>();
+        timer.after(ANNOUNCEMENT_LOOK, () -> {
+            boolean announced = IdempotencyKey.read(call.key())
+                    .map(key -> store.<Boolean>decide(
+                            key.owner(), key.run(), place -> !(place instanceof KeyStore.Announced)))
+                    .orElse(true);
+            CompletableFuture<CallResult> next = announced
+                    ? call(call, false)
+                    : looks > 1
+                            ? afterAnnouncement(call, looks - 1)
+                            : done(unknown(Step.FORWARD, issuer.self().value(), "the key is being handed over"));
+            next.thenAccept(result::complete);
+        });
+        return result;
+    }
+
     private CompletableFuture<CallResult> decide(KeyTable table, IdempotencyKey key, CallRunner.Call call) {
         if (!table.isGenuine(call.key())) {
             return done(notRun("the key is not genuine"));
--- a/entry/src/test/java/org/verbenatally/entry/key/KeyFleet.java
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyFleet.java
@@ -40,6 +40,7 @@
         private final Incarnation run;
         final KeyedCalls calls;
         volatile boolean reachable = true;
+        volatile Optional<InstanceId> announced = Optional.empty();
         volatile CallRunner runner = call -> CompletableFuture.completedFuture(
                 CallResult.done(200, ("{\"run\":" + count(call.key()) + "}").getBytes(), "service"));
 
@@ -64,11 +65,22 @@
         }
 
         void transferTo(Node successor) {
+            sendTables(successor);
+            announced = Optional.of(successor.id);
+            calls.store().endTransfer(announced);
+        }
+
+        /** Transfers the tables as far as the successor, whose confirmation is lost. */
+        void transferUnconfirmedTo(Node successor) {
+            sendTables(successor);
+            calls.store().endTransfer(Optional.empty());
+        }
+
+        private void sendTables(Node successor) {
             calls.store().beginTransfer();
             for (List<KeyTransfer> table : calls.store().parts()) {
                 table.forEach(part -> successor.calls.store().adopt(id, part));
             }
-            calls.store().endTransfer(Optional.of(successor.id));
         }
 
         @Override
@@ -92,7 +104,7 @@
                             new FailureDomain("Bole"),
                             MemberInfo.Status.LIVE,
                             ConfigVersion.NONE,
-                            Optional.empty())));
+                            node.announced)));
             return members;
         }
 
--- a/entry/src/test/java/org/verbenatally/entry/key/KeyedCallsTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyedCallsTest.java
@@ -146,6 +146,40 @@
         assertThat(fleet.runsOf(unused)).isEqualTo(1);
     }
 
+    /** Guards against two instances that both decide about a key because the confirmation of a transfer was lost. */
+    @Test
+    void successorWithoutAnAnnouncementDoesNotDecide() {
+        String key = a.issue();
+        a.transferUnconfirmedTo(b);
+
+        assertThat(a.outcome(key)).as("the owner decides on").isEqualTo(Outcome.DONE);
+        assertThat(b.outcome(key)).as("forwarded to the owner").isEqualTo(Outcome.DONE);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+
+        a.reachable = false;
+        assertThat(b.outcome(a.issue())).isEqualTo(Outcome.UNKNOWN);
+    }
+
+    /** Guards against a second run at a successor that was given up for another one. */
+    @Test
+    void onlyTheAnnouncedSuccessorDecides() {
+        KeyFleet.Node c = fleet.start("c", 14);
+        String key = a.issue();
+        a.transferUnconfirmedTo(b);
+        a.transferTo(c);
+
+        assertThat(c.outcome(key)).isEqualTo(Outcome.DONE);
+        b.outcome(key);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+
+        KeyFleet.Node restarted = fleet.start("a", 15);
+        restarted.transferTo(b);
+        b.outcome(key);
+        assertThat(fleet.runsOf(key))
+                .as("the announcement of a later run does not count")
+                .isEqualTo(1);
+    }
+
     /** Guards against a transferred key becoming young again, which would let it run after its rows were dropped. */
     @Test
     void transferKeepsTheAgeOfKeys() {
