Add a benchmark of membership and dissemination

Cause: the cost of control per instance at the target size was not known. Small fleets with many targets send their loads less often.

--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -32,6 +32,12 @@
     /** In a larger fleet loads are sent once in this many gossip periods. */
     private static final int SAMPLED_LOAD_PERIODS = 4;
 
+    /**
+     * In a small fleet loads are sent in each gossip frame up to this many targets; with twice as many in every second
+     * one, and so on. Eight members with 400 targets in each frame cost 212 KB/s a member (bench-peers, seed 7).
+     */
+    private static final int LOADS_PER_PERIOD = 24;
+
     /** Most suspects in one frame; the others follow in the next one. */
     private static final int MAX_SUSPECTS = 256;
 
@@ -66,7 +72,7 @@
     }
 
     /** State of the own process that goes into the frames of one round. */
-    private record Own(List<TargetLoad> loads, List<String> leaving, List<Suspect> suspects) {}
+    private record Own(List<TargetLoad> loads, List<String> leaving, List<Suspect> suspects, int periods) {}
 
     /**
      * Sends a frame on each link.
@@ -88,7 +94,7 @@
                 continue;
             }
             synchronized (link.gossip) {
-                boolean due = complete || mesh || timers.nanos() - link.gossip.nextLoads >= 0;
+                boolean due = complete || timers.nanos() - link.gossip.nextLoads >= 0;
                 if (due && own == null) {
                     own = own(mesh);
                 }
@@ -119,7 +125,8 @@
         }
         List<String> leaving =
                 handler.leavingTargets().stream().map(TargetId::value).toList();
-        return new Own(loads, leaving, handler.suspects());
+        int periods = mesh ? Math.max(1, Math.ceilDiv(loads.size(), LOADS_PER_PERIOD)) : SAMPLED_LOAD_PERIODS;
+        return new Own(loads, leaving, handler.suspects(), periods);
     }
 
     private void send(Link link, Own own) {
@@ -166,8 +173,10 @@
             state.wantedByPeer.removeAll(wantedByPeer);
             state.unknown.removeAll(unknown);
             if (own != null) {
+                // Half a period less, so that a tick that comes a little early does not skip a turn.
                 state.nextLoads = timers.nanos()
-                        + timings.gossip().multipliedBy(SAMPLED_LOAD_PERIODS).toNanos();
+                        + timings.gossip().multipliedBy(own.periods()).toNanos()
+                        - timings.gossip().toNanos() / 2;
                 gossip.getSuspects().forEach(s -> state.sentSuspects.put(key(s), stateOf(s)));
             }
         }
--- /dev/null
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -0,0 +1,315 @@
+package org.verbenatally.peer;
+
+import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+import com.sun.management.OperatingSystemMXBean;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.Logging;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.settings.LogSettings;
+import org.verbenatally.time.SystemTimerService;
+import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.ForwardCall;
+import org.verbenatally.wire.ForwardResult;
+import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.Suspect;
+import org.verbenatally.wire.TargetLoad;
+
+/**
+ * Measures membership, state exchange and configuration dissemination with many members in one process over loopback.
+ * Per member it prints CPU as a share of a core, bytes a second in both directions without TCP and IP headers, heap,
+ * and the time in which a new configuration version is in force everywhere.
+ */
+public final class PeerBench {
+    private static final String DEPLOYMENT = "bench";
+    private static final int PUBLISHED = 3;
+    private static final int FLEET = 330;
+    private static final int TARGETS = 4_100;
+    private static final int REGIONS = 7;
+    private static final long BOUND_SECONDS = 120;
+    private static final double KIB = 1024;
+
+    private final int seconds;
+    private final int warmUp;
+    private final long seed;
+    private final int inUse;
+    private final PrintStream out;
+
+    private PeerBench(CommandLine args, PrintStream out) {
+        seconds = Integer.parseInt(args.getOptionValue("seconds", "12"));
+        warmUp = Integer.parseInt(args.getOptionValue("warm-up", "10"));
+        seed = Long.parseLong(args.getOptionValue("seed", "7"));
+        inUse = Integer.parseInt(args.getOptionValue("in-use", "400"));
+        this.out = out;
+    }
+
+    /**
+     * Runs the benchmark; {@code --help} lists the options.
+     *
+     * @throws Exception if a fleet does not come together
+     */
+    public static void main(String[] args) throws Exception {
+        var options = new Options()
+                .addOption(null, "members", true, "fleet sizes, separated by commas (8,32,64,128,330)")
+                .addOption(null, "seconds", true, "length of each measurement (12)")
+                .addOption(null, "warm-up", true, "time before it (10)")
+                .addOption(null, "in-use", true, "targets that each member has requests on, at most (400)")
+                .addOption(null, "seed", true, "seed of the random choices (7)")
+                .addOption(null, "help", false, "prints the options");
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            if (line.hasOption("help")) {
+                options.getOptions()
+                        .forEach(o -> System.out.println("--" + o.getLongOpt() + "  " + o.getDescription()));
+                return;
+            }
+            var log = new LogSettings();
+            log.setLevel(LogSettings.Level.ERROR);
+            Logging.configure(log);
+            var bench = new PeerBench(line, System.out);
+            bench.header();
+            for (String n : line.getOptionValue("members", "8,32,64,128,330").split(",")) {
+                bench.run(Integer.parseInt(n));
+            }
+        } catch (ParseException e) {
+            System.err.println("bench-peers: " + e.getMessage());
+            System.exit(2);
+        }
+    }
+
+    private void header() {
+        out.printf("seed %d, %d s after %d s, at most %d targets in use per member%n", seed, seconds, warmUp, inUse);
+        out.println("members | links | CPU % of a core | B/s in+out | heap KiB idle | heap KiB with document |"
+                + " platform reads/s | document KiB | in force everywhere ms | CPU ms per version | KiB per version");
+    }
+
+    /** A member that has requests in flight and receives what others have. */
+    private static final class Member implements PeerHandler {
+        private final ConfigHolder config = new ConfigHolder();
+        private final List<TargetLoad> loads = new ArrayList<>();
+        private Peers peers;
+
+        Member(RandomGenerator random, int inUse) {
+            for (int i = 0; i < inUse; i++) {
+                loads.add(new TargetLoad(
+                        "engine-" + random.nextInt(TARGETS), 1 + random.nextInt(4), random.nextInt(4_000)));
+            }
+        }
+
+        @Override
+        public CompletableFuture<ForwardResult> onForward(InstanceId from, ForwardCall call) {
+            throw new UnsupportedOperationException("the benchmark forwards nothing");
+        }
+
+        @Override
+        public CompletableFuture<Void> onKeyTransfer(InstanceId from, KeyTransfer part) {
+            throw new UnsupportedOperationException("the benchmark transfers nothing");
+        }
+
+        @Override
+        public List<TargetLoad> targetLoads() {
+            return loads;
+        }
+
+        @Override
+        public void onTargetLoads(InstanceId from, List<TargetLoad> loads) {
+            // The target table is measured with the entry.
+        }
+
+        @Override
+        public Set<TargetId> leavingTargets() {
+            return Set.of();
+        }
+
+        @Override
+        public void onLeavingTargets(InstanceId from, Set<TargetId> targets) {
+            // As above.
+        }
+
+        @Override
+        public List<Suspect> suspects() {
+            return List.of();
+        }
+
+        @Override
+        public void onSuspects(InstanceId from, List<Suspect> suspects) {
+            // As above.
+        }
+
+        @Override
+        public void onGone(InstanceId peer) {
+            // As above.
+        }
+
+        long version() {
+            return config.deployment().map(d -> d.version().value()).orElse(0L);
+        }
+
+        long live() {
+            return peers.members().stream()
+                    .filter(m -> m.status() == MemberInfo.Status.LIVE)
+                    .count();
+        }
+    }
+
+    /** Sums over all members and the process at one moment. */
+    private record Reading(long nanos, long cpu, long bytes, long reads, long links) {}
+
+    private void run(int n) throws Exception {
+        Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
+        TimerService timers = new SystemTimerService();
+        var platform = new BenchPlatform(vertx);
+        Address address =
+                platform.listen().toCompletionStage().toCompletableFuture().get(10, TimeUnit.SECONDS);
+        platform.publish(1, document(1, 1, 1));
+        long heapBefore = usedHeap();
+        List<Member> members = start(n, vertx, timers, address);
+        try {
+            await("all members live", () -> members.stream().allMatch(m -> m.live() == n && m.version() == 1));
+            TimeUnit.SECONDS.sleep(warmUp);
+            Reading before = read(members, platform);
+            TimeUnit.SECONDS.sleep(seconds);
+            Reading after = read(members, platform);
+            double time = (after.nanos() - before.nanos()) / 1e9;
+            double cpu = (after.cpu() - before.cpu()) / 1e9 / time / n * 100;
+            double bytes = (after.bytes() - before.bytes()) / time / n;
+            double reads = (after.reads() - before.reads()) / time;
+            long falsely = members.stream().mapToLong(m -> n - m.live()).sum();
+            double heapIdle = (usedHeap() - heapBefore) / KIB / n;
+            byte[] sample = document(2, targets(n), n);
+            long slowest = 0;
+            Reading start = read(members, platform);
+            for (int i = 0; i < PUBLISHED; i++) {
+                slowest = Math.max(slowest, publish(2 + i, n, members, platform));
+            }
+            Reading end = read(members, platform);
+            double heapFull = (usedHeap() - heapBefore) / KIB / n;
+            out.printf(
+                    Locale.ROOT,
+                    "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %.0f | %d | %.1f | %.0f%s%n",
+                    n,
+                    (double) after.links() / n,
+                    cpu,
+                    bytes,
+                    heapIdle,
+                    heapFull,
+                    reads,
+                    sample.length / KIB,
+                    slowest,
+                    (end.cpu() - start.cpu()) / 1e6 / n / PUBLISHED,
+                    (end.bytes() - start.bytes()) / KIB / n / PUBLISHED,
+                    falsely == 0 ? "" : " | " + falsely + " views not live");
+        } finally {
+            for (Member m : members) {
+                m.peers.abort();
+            }
+            timers.close();
+            vertx.close().toCompletionStage().toCompletableFuture().get(30, TimeUnit.SECONDS);
+        }
+    }
+
+    private List<Member> start(int n, Vertx vertx, TimerService timers, Address platform) throws Exception {
+        RandomGenerator random = RandomGeneratorFactory.of("Xoshiro256PlusPlus").create(seed);
+        List<Member> members = new ArrayList<>();
+        for (int i = 0; i < n; i++) {
+            var member = new Member(random, Math.min(inUse, targets(n)));
+            List<Address> seeds =
+                    members.stream().limit(3).map(m -> m.peers.address()).toList();
+            var options = new PeerOptions(
+                    new InstanceId("entry-" + i),
+                    new FailureDomain("domain-" + i % 15),
+                    "region-" + i % (n >= FLEET / 3 ? REGIONS : 1),
+                    DEPLOYMENT,
+                    "127.0.0.1",
+                    0,
+                    seeds,
+                    Optional.of(platform),
+                    Optional.empty(),
+                    seed + i,
+                    PeerTimings.standard());
+            member.peers =
+                    Peers.start(options, vertx, timers, member.config, member).get(10, TimeUnit.SECONDS);
+            members.add(member);
+        }
+        return members;
+    }
+
+    /** Returns the targets of a fleet of n members in the proportion of the target size. */
+    private static int targets(int n) {
+        return n * TARGETS / FLEET;
+    }
+
+    private long publish(long version, int n, List<Member> members, BenchPlatform platform)
+            throws InterruptedException {
+        byte[] body = document(version, targets(n), n);
+        long start = System.nanoTime();
+        platform.publish(version, body);
+        await("version " + version + " everywhere", () -> members.stream().allMatch(m -> m.version() == version));
+        return (System.nanoTime() - start) / 1_000_000;
+    }
+
+    private static Reading read(List<Member> members, BenchPlatform platform) {
+        var os = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
+        long bytes = members.stream()
+                .map(m -> m.peers.stats())
+                .mapToLong(s -> s.bytesSent() + s.bytesReceived())
+                .sum();
+        long links = members.stream().mapToLong(m -> m.peers.stats().links()).sum();
+        return new Reading(System.nanoTime(), os.getProcessCpuTime(), bytes, platform.reads(), links);
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    private static void await(String what, BooleanSupplier condition) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(BOUND_SECONDS);
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() - until > 0) {
+                throw new IllegalStateException(what + ": not within " + BOUND_SECONDS + " s");
+            }
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+    }
+
+    private static byte[] document(long version, int targets, int organisations) {
+        var text = new StringBuilder("{\"deployment\":\"bench\",\"version\":" + version + ",\"entryCount\":330,"
+                + "\"kinds\":[{\"name\":\"guide\",\"runsOn\":\"engine\",\"model\":\"m1\",\"urgency\":\"patient\","
+                + "\"value\":\"high\",\"repeatable\":true,\"delivery\":\"stream\",\"deadlineMs\":60000}],\n"
+                + "\"organisations\":[");
+        for (int i = 0; i < organisations; i++) {
+            text.append(i == 0 ? "" : ",\n")
+                    .append("{\"id\":\"organisation-%d\",\"credentialSha256\":\"%064x\",\"share\":%d}"
+                            .formatted(i, i * 0x9E3779B97F4A7C15L, 1 + i % 7));
+        }
+        String engine = "{\"id\":\"engine-%d\",\"type\":\"engine\",\"host\":\"10.%d.%d.7\",\"port\":9000,"
+                + "\"failureDomain\":\"domain-%d\",\"models\":[{\"model\":\"m1\",\"version\":\"%d\"}]}";
+        text.append("],\n\"targets\":[");
+        for (int i = 0; i < targets; i++) {
+            text.append(i == 0 ? "" : ",\n").append(engine.formatted(i, i >> 8, i & 255, i % 15, version));
+        }
+        return text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
+    }
+}
