Separate document bytes and small documents in the peer benchmark

Cause: the time for a large document in one process is bound by its cores. Change: small documents are timed on their own; the bytes of a version are counted without periodic gossip. Netty's warnings follow the log level.

--- a/core/src/main/java/org/verbenatally/core/Logging.java
+++ b/core/src/main/java/org/verbenatally/core/Logging.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.logging.Handler;
 
@@ -35,8 +36,10 @@
         root.addHandler(handler);
         root.setLevel(level(settings.getLevel()));
         // Netty and Vert.x write many lines below INFO that say nothing about this system.
-        LogContext.getLogContext().getLogger("io.netty").setLevel(Level.INFO);
-        LogContext.getLogContext().getLogger("io.vertx").setLevel(Level.INFO);
+        boolean debug = settings.getLevel() == LogSettings.Level.DEBUG;
+        for (String library : List.of("io.netty", "io.vertx")) {
+            LogContext.getLogContext().getLogger(library).setLevel(debug ? Level.INFO : null);
+        }
     }
 
     private static java.util.logging.Level level(LogSettings.Level level) {
--- a/core/src/main/java/org/verbenatally/peer/PeerBench.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -100,8 +100,9 @@
 
     private void header() {
         out.printf("seed %d, %d s after %d s, at most %d targets in use per member%n", seed, seconds, warmUp, inUse);
-        out.println("members | links | CPU % of a core | B/s in+out | heap KiB idle | heap KiB with document |"
-                + " platform reads/s | document KiB | in force everywhere ms | CPU ms per version | KiB per version");
+        out.println(
+                "members | links | CPU % of a core | B/s in+out | heap KiB idle | heap KiB with document |"
+                        + " platform reads/s | small document everywhere ms | document KiB | everywhere ms | CPU ms per version | KiB per version");
     }
 
     /** A member that has requests in flight and receives what others have. */
@@ -197,17 +198,23 @@
             double reads = (after.reads() - before.reads()) / time;
             long falsely = members.stream().mapToLong(m -> n - m.live()).sum();
             double heapIdle = (usedHeap() - heapBefore) / KIB / n;
+            long slowestSmall = 0;
+            for (int i = 0; i < PUBLISHED; i++) {
+                slowestSmall = Math.max(slowestSmall, publish(2 + i, 1, 1, members, platform));
+            }
             byte[] sample = document(2, targets(n), n);
             long slowest = 0;
             Reading start = read(members, platform);
             for (int i = 0; i < PUBLISHED; i++) {
-                slowest = Math.max(slowest, publish(2 + i, n, members, platform));
+                slowest = Math.max(slowest, publish(2 + PUBLISHED + i, targets(n), n, members, platform));
             }
             Reading end = read(members, platform);
+            double published = (end.nanos() - start.nanos()) / 1e9;
+            double documentBytes = ((end.bytes() - start.bytes()) / (double) n - bytes * published) / PUBLISHED;
             double heapFull = (usedHeap() - heapBefore) / KIB / n;
             out.printf(
                     Locale.ROOT,
-                    "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %.0f | %d | %.1f | %.0f%s%n",
+                    "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %d | %.0f | %d | %.1f | %.1f%s%n",
                     n,
                     (double) after.links() / n,
                     cpu,
@@ -215,10 +222,11 @@
                     heapIdle,
                     heapFull,
                     reads,
+                    slowestSmall,
                     sample.length / KIB,
                     slowest,
                     (end.cpu() - start.cpu()) / 1e6 / n / PUBLISHED,
-                    (end.bytes() - start.bytes()) / KIB / n / PUBLISHED,
+                    documentBytes / KIB,
                     falsely == 0 ? "" : " | " + falsely + " views not live");
         } finally {
             for (Member m : members) {
@@ -260,9 +268,9 @@
         return n * TARGETS / FLEET;
     }
 
-    private long publish(long version, int n, List<Member> members, BenchPlatform platform)
+    private long publish(long version, int targets, int organisations, List<Member> members, BenchPlatform platform)
             throws InterruptedException {
-        byte[] body = document(version, targets(n), n);
+        byte[] body = document(version, targets, organisations);
         long start = System.nanoTime();
         platform.publish(version, body);
         await("version " + version + " everywhere", () -> members.stream().allMatch(m -> m.version() == version));
