--- a/tools/src/main/java/org/verbenatally/standin/EngineStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/EngineStandin.java
@@ -145,7 +145,7 @@
                     note("options", body);
                     request.response().setStatusCode(204).end();
                 });
-            case "POST /admin/drop-connections" -> host.dropConnections();
+            case "POST /admin/drop-connections" -> host.dropConnections(request);
             case "POST /admin/halt" ->
                 StandinHost.readJson(request, body -> {
                     host.vertx().setTimer(Math.max(1, body.getLong("afterMs", 1L)), ignored -> crash("halt"));
--- a/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
@@ -78,7 +78,7 @@
                     options = OptionRecords.with(options, body.getMap());
                     request.response().setStatusCode(204).end();
                 });
-            case "POST /admin/drop-connections" -> host.dropConnections();
+            case "POST /admin/drop-connections" -> host.dropConnections(request);
             default -> StandinHost.error(request, 404, "no route " + route);
         }
     }
--- a/tools/src/main/java/org/verbenatally/standin/StandinHost.java
+++ b/tools/src/main/java/org/verbenatally/standin/StandinHost.java
@@ -96,11 +96,18 @@
         });
     }
 
-    /** Closes all open connections; the listener stays. */
-    void dropConnections() {
+    private void dropConnections() {
         Set.copyOf(connections).forEach(HttpConnection::close);
     }
 
+    /** Closes all open connections but that of the request, and answers it; the listener stays. */
+    void dropConnections(HttpServerRequest request) {
+        Set.copyOf(connections).stream()
+                .filter(connection -> connection != request.connection())
+                .forEach(HttpConnection::close);
+        request.response().setStatusCode(204).end();
+    }
+
     @Override
     public void close() {
         await(vertx.close().toCompletionStage().toCompletableFuture());
--- a/tools/src/main/java/org/verbenatally/standin/TcpRelay.java
+++ b/tools/src/main/java/org/verbenatally/standin/TcpRelay.java
@@ -34,6 +34,7 @@
     private volatile Set<Direction> silentNew = Set.of();
     private volatile long delayMs;
     private ServerSocket server;
+    private Thread acceptor;
     private int port;
 
     /** Creates a stopped relay. */
@@ -128,7 +129,7 @@
             socket.bind(new InetSocketAddress(InetAddress.getByName(options.host()), port), BACKLOG);
             port = socket.getLocalPort();
             server = socket;
-            Thread.ofVirtual().name("relay-accept").start(() -> accept(socket));
+            acceptor = Thread.ofVirtual().name("relay-accept").start(() -> accept(socket));
         } catch (IOException e) {
             throw new UncheckedIOException("cannot listen on " + options.host() + ":" + port, e);
         }
@@ -138,9 +139,13 @@
         try {
             if (server != null) {
                 server.close();
+                // The descriptor stays open, and connections succeed, until the accepting thread has noticed.
+                acceptor.join();
             }
         } catch (IOException e) {
             throw new UncheckedIOException("cannot close the listener", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         } finally {
             server = null;
         }
--- a/tools/src/test/java/org/verbenatally/standin/EngineStandinTest.java
+++ b/tools/src/test/java/org/verbenatally/standin/EngineStandinTest.java
@@ -113,6 +113,27 @@
                 .isEqualTo(404);
     }
 
+    /** An entry that resumes counts on the engine to go on decoding, and on its end when nobody comes back. */
+    @ParameterizedTest
+    @CsvSource({"60000, done, 200", "1, abandoned, 404"})
+    void decodesWithoutAConnectionForALimitedTime(long detachedDecodeMs, String ended, int status) throws Exception {
+        start(Map.of("stepBaseMs", 10, "detachedDecodeMs", detachedDecodeMs));
+        GenerationId id = GenerationId.random();
+        TestHttp.sendLater(port, "POST", "/v1/generations", request(id, "[len=60]"));
+        TestHttp.until(() -> engine.state().getInteger("running") == 1);
+        TestHttp.send(port, "POST", "/admin/drop-connections", "");
+        TestHttp.until(() -> engine.history().stream()
+                .anyMatch(e -> e.getString("event").equals("end")
+                        && e.getString("ended").equals(ended)));
+        assertThat(TestHttp.send(port, "GET", "/v1/generations/" + id + "?from=0", "")
+                        .statusCode())
+                .isEqualTo(status);
+        engine.change(Map.of("retainMs", 0));
+        TestHttp.until(() -> TestHttp.send(port, "GET", "/v1/generations/" + id + "?from=0", "")
+                        .statusCode()
+                == 404);
+    }
+
     @ParameterizedTest
     @CsvSource({"true, 409", "false, 202"})
     void checksTheFencingNumberOnlyWhereSet(boolean checks, int status) throws Exception {
--- a/tools/src/test/java/org/verbenatally/standin/TcpRelayTest.java
+++ b/tools/src/test/java/org/verbenatally/standin/TcpRelayTest.java
@@ -11,6 +11,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.RepeatedTest;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -88,7 +89,8 @@
         }
     }
 
-    @Test
+    /** Repeated, as a listener that is not yet closed accepts a connection only now and then. */
+    @RepeatedTest(10)
     void refuseLeavesOpenConnectionsAndEnds() throws Exception {
         try (Socket old = connect()) {
             assertThat(roundTrip(old, 1)).isEqualTo(1);
