--- a/tools/src/main/java/org/verbenatally/standin/TcpRelay.java
+++ b/tools/src/main/java/org/verbenatally/standin/TcpRelay.java
@@ -139,7 +139,7 @@
         try {
             if (server != null) {
                 server.close();
-                // The kernel accepts connections until the blocked accept call has returned.
+                // The descriptor stays open, and connections succeed, until the accepting thread has noticed.
                 acceptor.join();
             }
         } catch (IOException e) {
