Bound the end of the process

Cause: in a trial on a busy machine a stopped entry did not exit within a minute; a task may wait for ever at the close. Conclusion: an orderly stop has a bound.

--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -185,6 +185,8 @@
             return;
         }
         dispatcher.close();
+        // A task that still waits must not keep the process from ending.
+        stopped.completeOnTimeout(null, 2 * CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         CompletableFuture<Void> left = peers == null ? CompletableFuture.completedFuture(null) : peers.close();
         left.orTimeout(CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS).whenComplete((v, e) -> {
             // No tick may find the contexts closed.
--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -68,9 +68,13 @@
                 .setPort(target.address().port())
                 .setMethod(method)
                 .setURI(uri);
-        // Failures are reported by the futures of each exchange; a reset request needs no second report.
-        Future<HttpClientRequest> future =
-                client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
+        Future<HttpClientRequest> future;
+        try {
+            // Failures are reported by the futures of each exchange; a reset request needs no second report.
+            future = client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
+        } catch (IllegalStateException e) {
+            throw notConnected(target, e);
+        }
         try {
             return future.await(CONNECT_TIMEOUT.toMillis() + 500, TimeUnit.MILLISECONDS);
         } catch (TimeoutException e) {
