Compare policies in memory and with processes; measure decisions

Cause: the decisions had no figures. Change: bin/bench decisions, policies (entry processes and stand-ins on loopback) and trial (real dispatchers on the stand-in's batching model in virtual time).

--- a/core/src/main/java/org/verbenatally/policy/PolicySuite.java
+++ b/core/src/main/java/org/verbenatally/policy/PolicySuite.java
@@ -34,6 +34,11 @@
         return NAMES;
     }
 
+    /** Tells whether a suite is a candidate that uses this system's own estimates, and not a baseline. */
+    public static boolean isCandidate(String name) {
+        return name.endsWith("-corrected");
+    }
+
     /** Returns the suite that the system property {@value #PROPERTY} names, or the default one. */
     public static PolicySuite fromSystemProperty() {
         return byName(System.getProperty(PROPERTY, DEFAULT));
--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -147,7 +147,7 @@
         ownTokens += flight.heldTokens();
         sent++;
         claimed++;
-        forecastValid = false;
+        forecast.add(flight.heldTokens(), flight.expectedRemaining(), 1);
     }
 
     /** Removes a flight; returns the flights that ran beside it if it is the first to tell of a crash. */
@@ -155,7 +155,7 @@
         record(now);
         ownRequests--;
         ownTokens -= flight.heldTokens();
-        forecastValid = false;
+        forecast.add(flight.heldTokens(), flight.expectedRemaining(), -1);
         boolean first = flights.remove(flight);
         if (end != FlightEnd.CRASHED || !first) {
             return List.of();
--- /dev/null
+++ b/tools/src/main/java/org/verbenatally/faults/BenchCluster.java
@@ -0,0 +1,62 @@
+package org.verbenatally.faults;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+import org.verbenatally.config.Deployment;
+import org.verbenatally.config.TargetType;
+import org.verbenatally.core.Address;
+
+/** A cluster of processes for measurements: what the load tool needs to know, and no faults. */
+public final class BenchCluster implements AutoCloseable {
+    private final Cluster cluster;
+
+    private BenchCluster(Cluster cluster) {
+        this.cluster = cluster;
+    }
+
+    /**
+     * Starts a cluster and waits until it is ready.
+     *
+     * @param deployment name of an example deployment
+     * @param entries number of entry processes
+     * @param seed seed of the entries and stand-ins
+     * @param engine options of all engines, by name
+     * @param properties system properties of the entry and stand-in processes
+     */
+    public static BenchCluster start(
+            String deployment, int entries, long seed, Map<String, String> engine, Map<String, String> properties) {
+        ChildProcess.useProperties(properties);
+        return new BenchCluster(
+                Cluster.start(new ClusterOptions(deployment, entries, seed, false, Set.of(), engine, 5)));
+    }
+
+    /** Returns the deployment in force. */
+    public Deployment deployment() {
+        return cluster.deployment();
+    }
+
+    /** Returns where the entries listen for callers. */
+    public List<Address> entries() {
+        List<Address> addresses = new ArrayList<>();
+        for (int i = 0; i < cluster.size(); i++) {
+            addresses.add(cluster.callers(i));
+        }
+        return addresses;
+    }
+
+    /** Returns where the engines listen. */
+    public List<Address> engines() {
+        return deployment().targets().values().stream()
+                .filter(t -> t.type() == TargetType.ENGINE)
+                .map(t -> cluster.targets().address(t.id().value()))
+                .toList();
+    }
+
+    @Override
+    public void close() {
+        cluster.close();
+    }
+}
--- a/tools/src/main/java/org/verbenatally/faults/ChildProcess.java
+++ b/tools/src/main/java/org/verbenatally/faults/ChildProcess.java
@@ -30,6 +30,8 @@
                 .addShutdownHook(new Thread(() -> STARTED.values().forEach(Process::destroyForcibly), "kill-children"));
     }
 
+    private static volatile Map<String, String> properties = Map.of();
+
     private final String name;
     private final Process process;
     private final BufferedReader out;
@@ -40,11 +42,17 @@
         out = process.inputReader(StandardCharsets.UTF_8);
     }
 
+    /** Sets the system properties of the processes that are started from now on. */
+    static void useProperties(Map<String, String> values) {
+        properties = Map.copyOf(values);
+    }
+
     /** Starts a main class; its standard error goes to {@code <folder>/<name>.log}. */
     static ChildProcess start(String name, Path folder, String mainClass, List<String> arguments) {
         List<String> command = new ArrayList<>();
         command.add(System.getProperty("java.home") + File.separator + "bin" + File.separator + "java");
         command.addAll(JVM_OPTIONS);
+        properties.forEach((key, value) -> command.add("-D" + key + "=" + value));
         command.addAll(List.of("-cp", System.getProperty("java.class.path"), mainClass));
         command.addAll(arguments);
         File log = folder.resolve(name + ".log").toFile();
--- a/tools/src/main/java/org/verbenatally/load/BenchMain.java
+++ b/tools/src/main/java/org/verbenatally/load/BenchMain.java
@@ -1,47 +1,70 @@
 package org.verbenatally.load;
 
 import java.util.List;
-import java.util.Locale;
 
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
 import org.verbenatally.policy.PolicySuite;
-import org.verbenatally.standin.EngineOptions;
 
-/** Entry point of {@code bin/bench}. */
+/**
+ * Entry point of {@code bin/bench}: {@code decisions} measures the cost of a decision, {@code policies} compares
+ * policies with processes on loopback, {@code trial} compares them in memory and virtual time.
+ */
 public final class BenchMain {
+    private static final String USAGE =
+            "usage: bench decisions|policies|trial [--quick] [--seed n] [--deployment name] [--entries n]"
+                    + " [--loads 0.9,...] [--lags 500,...] [--seconds n] [--policies name,...]";
+
     private BenchMain() {}
 
     /** Runs the benchmark that the first argument names. */
     public static void main(String[] args) {
-        double load = args.length > 1 ? Double.parseDouble(args[1]) : 0.9;
-        long lag = args.length > 2 ? Long.parseLong(args[2]) : 500;
-        int seconds = args.length > 3 ? Integer.parseInt(args[3]) : 300;
-        List<String> names = args.length > 4 ? List.of(args[4].split(",")) : PolicySuite.names();
-        long seed = args.length > 5 ? Long.parseLong(args[5]) : 1;
-        System.out.println(
-                "policy stall stallFirst preempt gap99 gap999 goodput refused refusedU urgentMet u95 p50 p95 small95");
-        names.parallelStream().forEach(name -> {
-            var m = new PolicyTrial(
-                            new PolicyTrial.Setting(
-                                    name, 8, 8, load, lag, seconds, seed, args.length > 6 ? args[6] : "aarhus"),
-                            EngineOptions.defaults("engine"))
-                    .run();
-            System.out.printf(
-                    Locale.ROOT,
-                    "%-20s %9.1f %9.1f %5d %6.1f %7.1f %7.0f %5d %5d %.3f %6.0f %7.0f %8.0f %7.0f%n",
-                    name,
-                    m.stallSeconds(),
-                    m.stallFirstSeconds(),
-                    m.preemptions(),
-                    m.gapMs(99),
-                    m.gapMs(99.9),
-                    m.goodput(),
-                    m.refused(),
-                    m.refusedUrgent(),
-                    m.urgentMet(),
-                    m.urgentFirstMs(95),
-                    m.patientFirstMs(50),
-                    m.patientFirstMs(95),
-                    m.smallFirstMs(95));
-        });
+        CommandLine line;
+        try {
+            line = new DefaultParser().parse(options(), args);
+        } catch (ParseException e) {
+            System.err.println(e.getMessage() + "\n" + USAGE);
+            System.exit(2);
+            return;
+        }
+        String command = line.getArgList().isEmpty() ? "" : line.getArgList().getFirst();
+        switch (command) {
+            case "decisions" -> new DecisionBench(line.hasOption("quick")).run();
+            case "policies" -> new PolicyBench(plan(line, 80)).run();
+            case "trial" -> new TrialBench(plan(line, 600)).run();
+            default -> {
+                System.err.println(USAGE);
+                System.exit(2);
+            }
+        }
+    }
+
+    private static Options options() {
+        Options options =
+                new Options().addOption(Option.builder().longOpt("quick").get());
+        for (String name : List.of("seed", "deployment", "entries", "loads", "lags", "seconds", "policies")) {
+            options.addOption(Option.builder().longOpt(name).hasArg().get());
+        }
+        return options;
+    }
+
+    private static BenchPlan plan(CommandLine line, int seconds) {
+        boolean quick = line.hasOption("quick");
+        return new BenchPlan(
+                line.getOptionValue("deployment", "aarhus"),
+                Integer.parseInt(line.getOptionValue("entries", quick ? "2" : "8")),
+                numbers(line.getOptionValue("loads", quick ? "0.9" : "0.7,0.9,1.1")),
+                numbers(line.getOptionValue("lags", quick ? "500" : "500,2000")),
+                Integer.parseInt(line.getOptionValue("seconds", Integer.toString(quick ? seconds / 2 : seconds))),
+                Long.parseLong(line.getOptionValue("seed", "1")),
+                List.of(line.getOptionValue("policies", String.join(",", PolicySuite.names()))
+                        .split(",")));
+    }
+
+    private static List<Double> numbers(String text) {
+        return List.of(text.split(",")).stream().map(Double::valueOf).toList();
     }
 }
--- a/tools/src/main/java/org/verbenatally/load/PolicyTrial.java
+++ b/tools/src/main/java/org/verbenatally/load/PolicyTrial.java
@@ -200,7 +200,7 @@
             Target.LoadedModel model = new Target.LoadedModel(MODEL, "1", List.of());
             Address address = new Address("127.0.0.1", 1 + i);
             targets.put(
-                    id, new Target(id, TargetType.ENGINE, address, DOMAIN, List.of(model), "serve", false, 64, false));
+                    id, new Target(id, TargetType.ENGINE, address, DOMAIN, List.of(model), "serve", false, 32, false));
             engines.put(id, new Engine(id, options));
         }
         return new Deployment(
--- a/tools/src/main/java/org/verbenatally/standin/EngineOptions.java
+++ b/tools/src/main/java/org/verbenatally/standin/EngineOptions.java
@@ -1,5 +1,7 @@
 package org.verbenatally.standin;
 
+import java.util.Map;
+
 /**
  * Options of an engine stand-in. {@code docs/standins.md} explains the timing model.
  *
@@ -98,6 +100,15 @@
                 "");
     }
 
+    /**
+     * Returns these options with some changed.
+     *
+     * @param changes values by the name of the option
+     */
+    public EngineOptions with(Map<String, ?> changes) {
+        return OptionRecords.with(this, changes);
+    }
+
     /** Checks ranges. */
     public EngineOptions {
         if (stepBaseMs <= 0 || stepPerSequenceMs < 0 || prefillPerTokenMs < 0) {
