Look up the source of a relayed connection only when a fault needs it

Cause: Each relayed connection scanned the socket tables of all processes, which cost most of a core under load; half- closed connections were kept. Before / after: no figure; the machine was shared.

--- a/tools/src/main/java/org/verbenatally/faults/Links.java
+++ b/tools/src/main/java/org/verbenatally/faults/Links.java
@@ -23,19 +23,50 @@
 final class Links implements AutoCloseable {
     private static final int BUFFER = 16_384;
     private static final int CONNECT_MS = 5_000;
+    private static final int RECHECK_MS = 500;
     private static final BiPredicate<String, String> NOTHING = (from, to) -> false;
 
-    private final Supplier<Map<Long, String>> names;
+    private final SocketOwners owners;
     private final List<ServerSocket> listeners = new CopyOnWriteArrayList<>();
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
     private final Object changed = new Object();
     private volatile BiPredicate<String, String> held = NOTHING;
 
-    /** One relayed connection from a named process to another. */
-    private record Connection(String from, String to, Socket near, Socket far, Silence silence) {}
+    /** One relayed connection to a named process; who opened it is looked up when a fault needs to know. */
+    private final class Connection {
+        private final String to;
+        private final Socket near;
+        private final Socket far = new Socket();
+        private volatile String from;
+        private volatile boolean silenced;
+
+        Connection(String to, Socket near) {
+            this.to = to;
+            this.near = near;
+        }
+
+        String from() {
+            if (from == null) {
+                from = owners.find(near.getPort(), near.getLocalPort()).orElse("unknown");
+            }
+            return from;
+        }
 
-    private static final class Silence {
-        private volatile boolean forever;
+        boolean isHeld(boolean forward) {
+            BiPredicate<String, String> rule = held;
+            return silenced || (rule != NOTHING && (forward ? rule.test(from(), to) : rule.test(to, from())));
+        }
+
+        /** Waits while bytes may not flow in a direction. */
+        void awaitOpen(boolean forward) throws InterruptedException {
+            boolean wait = isHeld(forward);
+            while (wait) {
+                synchronized (changed) {
+                    changed.wait(RECHECK_MS);
+                }
+                wait = isHeld(forward);
+            }
+        }
     }
 
     /**
@@ -44,7 +75,7 @@
      * @param names names of the processes by process id, as of the call
      */
     Links(Supplier<Map<Long, String>> names) {
-        this.names = names;
+        owners = new SocketOwners(names);
     }
 
     /** Puts a relay in front of an address and returns where it listens. */
@@ -79,12 +110,11 @@
     int silence(BiPredicate<String, String> fromTo) {
         int count = 0;
         for (Connection connection : connections) {
-            if (fromTo.test(connection.from(), connection.to()) && !connection.silence().forever) {
-                connection.silence().forever = true;
+            if (!connection.silenced && fromTo.test(connection.from(), connection.to)) {
+                connection.silenced = true;
                 count++;
             }
         }
-        wake();
         return count;
     }
 
@@ -106,15 +136,12 @@
     }
 
     private void relay(String to, Address real, Socket near) {
-        String from = SocketOwners.find(near.getPort(), near.getLocalPort(), names.get())
-                .orElse("unknown");
-        Socket far = new Socket();
-        Connection connection = new Connection(from, to, near, far, new Silence());
+        Connection connection = new Connection(to, near);
         try {
             near.setTcpNoDelay(true);
-            far.setTcpNoDelay(true);
-            awaitOpen(connection, from, to);
-            far.connect(new InetSocketAddress(real.host(), real.port()), CONNECT_MS);
+            connection.far.setTcpNoDelay(true);
+            connection.awaitOpen(true);
+            connection.far.connect(new InetSocketAddress(real.host(), real.port()), CONNECT_MS);
         } catch (IOException e) {
             reset(near);
             return;
@@ -123,11 +150,13 @@
             return;
         }
         connections.add(connection);
-        Thread.ofVirtual().start(() -> pump(connection, far, near, to, from));
-        pump(connection, near, far, from, to);
+        Thread.ofVirtual().start(() -> pump(connection, false));
+        pump(connection, true);
     }
 
-    private void pump(Connection connection, Socket in, Socket out, String from, String to) {
+    private void pump(Connection connection, boolean forward) {
+        Socket in = forward ? connection.near : connection.far;
+        Socket out = forward ? connection.far : connection.near;
         byte[] buffer = new byte[BUFFER];
         boolean clean = false;
         try {
@@ -135,7 +164,7 @@
             OutputStream sink = out.getOutputStream();
             int read = source.read(buffer);
             while (read >= 0) {
-                awaitOpen(connection, from, to);
+                connection.awaitOpen(forward);
                 sink.write(buffer, 0, read);
                 read = source.read(buffer);
             }
@@ -147,24 +176,21 @@
         }
         try {
             // A cut link passes on neither data nor the end of the connection.
-            awaitOpen(connection, from, to);
+            connection.awaitOpen(forward);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        connections.remove(connection);
         if (clean) {
             close(out);
         } else {
+            connections.remove(connection);
             reset(out);
             reset(in);
         }
-    }
-
-    private void awaitOpen(Connection connection, String from, String to) throws InterruptedException {
-        synchronized (changed) {
-            while (connection.silence().forever || held.test(from, to)) {
-                changed.wait();
-            }
+        if (connection.near.isOutputShutdown() && connection.far.isOutputShutdown()) {
+            connections.remove(connection);
+            reset(in);
+            reset(out);
         }
     }
 
@@ -187,6 +213,7 @@
 
     @Override
     public void close() {
+        heal();
         for (ServerSocket listener : listeners) {
             try {
                 listener.close();
@@ -195,8 +222,9 @@
             }
         }
         connections.forEach(connection -> {
-            reset(connection.near());
-            reset(connection.far());
+            connection.silenced = false;
+            reset(connection.near);
+            reset(connection.far);
         });
     }
 }
