--- a/tools/src/main/java/org/verbenatally/faults/Links.java
+++ b/tools/src/main/java/org/verbenatally/faults/Links.java
@@ -189,8 +189,16 @@
         }
         if (connection.near.isOutputShutdown() && connection.far.isOutputShutdown()) {
             connections.remove(connection);
-            reset(in);
-            reset(out);
+            release(in);
+            release(out);
+        }
+    }
+
+    private static void release(Socket socket) {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // It is closed already.
         }
     }
 
