Give the test fleet no advertised address

Cause: PeerOptions gained the advertised address while the test fleet was written. Change: Fleet passes none. Conclusion: core's tests compile again.

--- a/core/src/test/java/org/verbenatally/peer/Fleet.java
+++ b/core/src/test/java/org/verbenatally/peer/Fleet.java
@@ -133,6 +133,7 @@
                 DEPLOYMENT,
                 "127.0.0.1",
                 0,
+                Optional.empty(),
                 seeds,
                 platform,
                 Optional.empty(),
