--- a/core/src/main/java/org/verbenatally/peer/PeerBench.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -100,9 +100,20 @@
 
     private void header() {
         out.printf("seed %d, %d s after %d s, at most %d targets in use per member%n", seed, seconds, warmUp, inUse);
-        out.println(
-                "members | links | CPU % of a core | B/s in+out | heap KiB idle | heap KiB with document |"
-                        + " platform reads/s | small document everywhere ms | document KiB | everywhere ms | CPU ms per version | KiB per version");
+        out.println(String.join(
+                " | ",
+                "members",
+                "links",
+                "CPU % of a core",
+                "B/s in+out",
+                "heap KiB idle",
+                "heap KiB with document",
+                "platform reads/s",
+                "small document everywhere ms",
+                "document KiB",
+                "everywhere ms",
+                "CPU ms per version",
+                "KiB per version"));
     }
 
     /** A member that has requests in flight and receives what others have. */
@@ -189,45 +200,7 @@
         try {
             await("all members live", () -> members.stream().allMatch(m -> m.live() == n && m.version() == 1));
             TimeUnit.SECONDS.sleep(warmUp);
-            Reading before = read(members, platform);
-            TimeUnit.SECONDS.sleep(seconds);
-            Reading after = read(members, platform);
-            double time = (after.nanos() - before.nanos()) / 1e9;
-            double cpu = (after.cpu() - before.cpu()) / 1e9 / time / n * 100;
-            double bytes = (after.bytes() - before.bytes()) / time / n;
-            double reads = (after.reads() - before.reads()) / time;
-            long falsely = members.stream().mapToLong(m -> n - m.live()).sum();
-            double heapIdle = (usedHeap() - heapBefore) / KIB / n;
-            long slowestSmall = 0;
-            for (int i = 0; i < PUBLISHED; i++) {
-                slowestSmall = Math.max(slowestSmall, publish(2 + i, 1, 1, members, platform));
-            }
-            byte[] sample = document(2, targets(n), n);
-            long slowest = 0;
-            Reading start = read(members, platform);
-            for (int i = 0; i < PUBLISHED; i++) {
-                slowest = Math.max(slowest, publish(2 + PUBLISHED + i, targets(n), n, members, platform));
-            }
-            Reading end = read(members, platform);
-            double published = (end.nanos() - start.nanos()) / 1e9;
-            double documentBytes = ((end.bytes() - start.bytes()) / (double) n - bytes * published) / PUBLISHED;
-            double heapFull = (usedHeap() - heapBefore) / KIB / n;
-            out.printf(
-                    Locale.ROOT,
-                    "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %d | %.0f | %d | %.1f | %.1f%s%n",
-                    n,
-                    (double) after.links() / n,
-                    cpu,
-                    bytes,
-                    heapIdle,
-                    heapFull,
-                    reads,
-                    slowestSmall,
-                    sample.length / KIB,
-                    slowest,
-                    (end.cpu() - start.cpu()) / 1e6 / n / PUBLISHED,
-                    documentBytes / KIB,
-                    falsely == 0 ? "" : " | " + falsely + " views not live");
+            measure(n, members, platform, heapBefore);
         } finally {
             for (Member m : members) {
                 m.peers.abort();
@@ -237,6 +210,49 @@
         }
     }
 
+    private void measure(int n, List<Member> members, BenchPlatform platform, long heapBefore)
+            throws InterruptedException {
+        Reading before = read(members, platform);
+        TimeUnit.SECONDS.sleep(seconds);
+        Reading after = read(members, platform);
+        double time = (after.nanos() - before.nanos()) / 1e9;
+        double bytes = (after.bytes() - before.bytes()) / time / n;
+        long falsely = members.stream().mapToLong(m -> n - m.live()).sum();
+        double heapIdle = (usedHeap() - heapBefore) / KIB / n;
+        long slowestSmall = publishAll(2, 1, 1, members, platform);
+        Reading start = read(members, platform);
+        long slowest = publishAll(2 + PUBLISHED, targets(n), n, members, platform);
+        Reading end = read(members, platform);
+        double published = (end.nanos() - start.nanos()) / 1e9;
+        double documentBytes = ((end.bytes() - start.bytes()) / (double) n - bytes * published) / PUBLISHED;
+        out.printf(
+                Locale.ROOT,
+                "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %d | %.0f | %d | %.1f | %.1f%s%n",
+                n,
+                (double) after.links() / n,
+                (after.cpu() - before.cpu()) / 1e9 / time / n * 100,
+                bytes,
+                heapIdle,
+                (usedHeap() - heapBefore) / KIB / n,
+                (after.reads() - before.reads()) / time,
+                slowestSmall,
+                document(2, targets(n), n).length / KIB,
+                slowest,
+                (end.cpu() - start.cpu()) / 1e6 / n / PUBLISHED,
+                documentBytes / KIB,
+                falsely == 0 ? "" : " | " + falsely + " views not live");
+    }
+
+    private static long publishAll(
+            long firstVersion, int targets, int organisations, List<Member> members, BenchPlatform platform)
+            throws InterruptedException {
+        long slowest = 0;
+        for (int i = 0; i < PUBLISHED; i++) {
+            slowest = Math.max(slowest, publish(firstVersion + i, targets, organisations, members, platform));
+        }
+        return slowest;
+    }
+
     private List<Member> start(int n, Vertx vertx, TimerService timers, Address platform) throws Exception {
         RandomGenerator random = RandomGeneratorFactory.of("Xoshiro256PlusPlus").create(seed);
         List<Member> members = new ArrayList<>();
@@ -268,7 +284,8 @@
         return n * TARGETS / FLEET;
     }
 
-    private long publish(long version, int targets, int organisations, List<Member> members, BenchPlatform platform)
+    private static long publish(
+            long version, int targets, int organisations, List<Member> members, BenchPlatform platform)
             throws InterruptedException {
         byte[] body = document(version, targets, organisations);
         long start = System.nanoTime();
