--- a/core/src/main/java/org/verbenatally/peer/PeerBench.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -267,6 +267,7 @@
                     DEPLOYMENT,
                     "127.0.0.1",
                     0,
+                    Optional.empty(),
                     seeds,
                     Optional.of(platform),
                     Optional.empty(),
