Answer keyed calls to the end; send the head of a slow stream early

Change: calls with a key are decided by the key's owner also while the entry stops; the head of a stream is sent after 1 s whatever the request waits for; a lost connection of a caller is no internal error.

--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -5,6 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.Vertx;
+import io.vertx.core.VertxException;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import org.jboss.logging.Logger;
@@ -47,6 +48,9 @@
             fail(exchange, e.problem());
         } catch (StepException e) {
             fail(exchange, Problem.of(e));
+        } catch (VertxException e) {
+            LOG.debugf("caller: request %s ended with its connection: %s", exchange.id(), e.getMessage());
+            fail(exchange, internalError());
         } catch (RuntimeException e) {
             LOG.errorf(e, "caller: request %s failed with an internal error", exchange.id());
             fail(exchange, internalError());
@@ -76,8 +80,11 @@
         if (path == null) {
             throw notFound();
         }
-        if (!accepts.getAsBoolean()) {
+        boolean stopping = !accepts.getAsBoolean();
+        if (stopping) {
             exchange.response().putHeader("Connection", "close");
+        }
+        if (stopping && !isKeyed(exchange, path)) {
             throw new ProblemException(
                     Problem.refused(UNAVAILABLE, "stopping", Step.ACCEPT, "this entry accepts no new work")
                             .withRetryAfter(Duration.ofMillis(200)));
@@ -102,6 +109,11 @@
         }
     }
 
+    /** A call with a key is answered to the end: an earlier copy may have run, which only the key's owner can tell. */
+    private boolean isKeyed(Exchange exchange, String path) {
+        return path.startsWith(WORK) && exchange.hasKey() && work.needsKey(path.substring(WORK.length()));
+    }
+
     private void streams(Exchange exchange, String token) {
         if (exchange.request().method().equals(HttpMethod.GET)) {
             streams.resume(exchange, token);
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -37,6 +37,9 @@
     /** Time for the first read of a stream whose address was given out with status 202. */
     private static final Duration FIRST_READ = Duration.ofSeconds(25);
 
+    /** Time without an answer after which a stream's head is sent, so that keep-alives can follow. */
+    private static final Duration EARLY_HEAD = Duration.ofSeconds(1);
+
     private final CallerParts parts;
     private final Exchange exchange;
     private final Answer answer;
@@ -49,6 +52,7 @@
     private CompletableFuture<Flight> waiting;
     private boolean mayHaveRun;
     private long timer = -1;
+    private long early = -1;
 
     /** Why a run ends before its generation. */
     enum Stop {
@@ -113,11 +117,13 @@
         parts.runs().add(this);
         long left = work.deadlineNanos() - parts.timer().nanos();
         timer = vertx.setTimer(Math.max(1, left / 1_000_000), id -> stop(Stop.DEADLINE));
+        early = vertx.setTimer(EARLY_HEAD.toMillis(), id -> openEarly());
         answer.onGone(() -> context.runOnContext(v -> callerGone()));
     }
 
     private void finish() {
         vertx.cancelTimer(timer);
+        vertx.cancelTimer(early);
         parts.runs().remove(this);
     }
 
@@ -222,7 +228,6 @@
         if (stopped().isPresent()) {
             future.cancel(false);
         }
-        long open = vertx.setTimer(Duration.ofSeconds(1).toMillis(), id -> openEarly());
         try {
             Flight flight = Future.fromCompletionStage(future, context).await();
             exchange.note("routed");
@@ -232,8 +237,6 @@
         } catch (CancellationException e) {
             RunProblems.stoppedWhileWaiting(stopped().orElse(Stop.ABANDONED), mayHaveRun)
                     .ifPresent(this::failed);
-        } finally {
-            vertx.cancelTimer(open);
         }
         return Optional.empty();
     }
--- a/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
@@ -59,6 +59,12 @@
         }
     }
 
+    /** Tells whether a kind of this name needs an idempotency key. */
+    boolean needsKey(String kindName) {
+        Kind kind = kind(kindName);
+        return kind.runsOn() == TargetType.SERVICE && !kind.repeatable();
+    }
+
     private void open(Exchange exchange, Kind kind) {
         exchange.trace(parts.log()
                 .open(
