Report service-level burn by kind, organisation and cause; explain recent requests

Cause: the error budget counted one total without a cause, so an operator could not tell what used it up. Change: each entry counts met, late, stalled, refused and lost requests by kind and organisation for an hour; ctl burn sums the entries, names those that gave no answer, raises multi-window alarms and writes text, JSON and an HTML page; ctl explain shows the steps of a recent request. Requests that their callers cancelled are not counted. Conclusion: counts restart with a process, and the report says since when each entry counts.

--- a/ctl/src/main/java/org/verbenatally/ctl/CtlMain.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/CtlMain.java
@@ -18,8 +18,13 @@
 /** Entry point of {@code verbenatally-ctl}. */
 public final class CtlMain {
     private static final String VERSION = "0.1.0";
-    private static final List<Command> COMMANDS =
-            List.of(new QuestionnaireCommand(), new CheckCommand(), new DiffCommand(), new StatusCommand());
+    private static final List<Command> COMMANDS = List.of(
+            new QuestionnaireCommand(),
+            new CheckCommand(),
+            new DiffCommand(),
+            new StatusCommand(),
+            new ExplainCommand(),
+            new BurnCommand());
 
     private CtlMain() {}
 
--- /dev/null
+++ b/ctl/src/main/java/org/verbenatally/ctl/ExplainCommand.java
@@ -0,0 +1,75 @@
+package org.verbenatally.ctl;
+
+import java.io.IOException;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+
+/** Shows what happened to a recent request at the entries that saw it. */
+final class ExplainCommand implements Command {
+
+    @Override
+    public String name() {
+        return "explain";
+    }
+
+    @Override
+    public String summary() {
+        return "Shows step by step what happened to a recent request.";
+    }
+
+    @Override
+    public String usage() {
+        return "[--json] REQUEST-ID HOST:PORT...\n"
+                + "example: verbenatally-ctl explain 7f3c 127.0.0.1:9001 127.0.0.1:9002\n"
+                + "Entries remember recent requests only. Exits with 1 if no entry knows the request.";
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(Option.builder()
+                        .longOpt("json")
+                        .desc("print one JSON array")
+                        .get());
+    }
+
+    @Override
+    public int run(CommandLine line, Console console) throws UsageException, IOException {
+        List<String> arguments = line.getArgList();
+        if (arguments.isEmpty()) {
+            throw new UsageException("needs a request id");
+        }
+        String id = URLEncoder.encode(arguments.getFirst(), StandardCharsets.UTF_8);
+        Entries entries = Entries.ask(arguments.subList(1, arguments.size()), "/operator/explain/" + id);
+        if (line.hasOption("json")) {
+            entries.printJson(console);
+        } else {
+            entries.answers().forEach(trace -> print(console, trace));
+        }
+        entries.printSilent(console);
+        if (entries.answers().isEmpty()) {
+            console.err().println("no entry remembers request " + arguments.getFirst());
+        }
+        return entries.answers().isEmpty() ? ExitStatus.REFUSED : ExitStatus.OK;
+    }
+
+    private static void print(Console console, JsonNode trace) {
+        console.out()
+                .printf(
+                        "request %s  organisation %s  kind %s%n",
+                        trace.path("request").asText(),
+                        trace.path("organisation").asText(),
+                        trace.path("kind").asText());
+        trace.path("steps")
+                .forEach(step -> console.out()
+                        .printf(
+                                "  %8d ms  %s%n",
+                                step.path("atMs").asLong(), step.path("text").asText()));
+    }
+}
--- a/ctl/src/main/java/org/verbenatally/ctl/StatusCommand.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/StatusCommand.java
@@ -1,30 +1,18 @@
 package org.verbenatally.ctl;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
-import org.verbenatally.core.Address;
 
 /** Shows the state of the entry instances and where they disagree. */
 final class StatusCommand implements Command {
-    private static final Duration TIMEOUT = Duration.ofSeconds(3);
-    private static final int HTTP_OK = 200;
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     @Override
     public String name() {
         return "status";
@@ -52,55 +40,20 @@
 
     @Override
     public int run(CommandLine line, Console console) throws UsageException, IOException {
-        if (line.getArgList().isEmpty()) {
-            throw new UsageException("needs the operator address of at least one entry");
-        }
-        ArrayNode reports = MAPPER.createArrayNode();
-        List<String> silent = new ArrayList<>();
-        for (String text : line.getArgs()) {
-            Address address = parse(text);
-            try {
-                reports.add(fetch(address));
-            } catch (IOException e) {
-                silent.add(address + ": " + (e.getMessage() == null ? "cannot connect" : e.getMessage()));
-            }
-        }
+        Entries entries = Entries.ask(line.getArgList(), "/operator/status");
         if (line.hasOption("json")) {
-            console.out().println(MAPPER.writerWithDefaultPrettyPrinter().writeValueAsString(reports));
+            entries.printJson(console);
         } else {
-            reports.forEach(report -> print(console, report));
+            entries.answers().forEach(report -> print(console, report));
         }
-        silent.forEach(text -> console.err().println("no answer from " + text));
+        entries.printSilent(console);
         Set<String> versions = new TreeSet<>();
-        reports.forEach(report -> versions.add(report.path("configVersion").asText()));
+        entries.answers()
+                .forEach(report -> versions.add(report.path("configVersion").asText("none")));
         if (versions.size() > 1) {
             console.err().println("entries disagree on the configuration version: " + versions);
         }
-        return silent.isEmpty() && versions.size() <= 1 ? ExitStatus.OK : ExitStatus.REFUSED;
-    }
-
-    private static Address parse(String text) throws UsageException {
-        try {
-            return Address.parse(text);
-        } catch (IllegalArgumentException e) {
-            throw new UsageException(e.getMessage());
-        }
-    }
-
-    private static JsonNode fetch(Address address) throws IOException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + "/operator/status"))
-                .timeout(TIMEOUT)
-                .build();
-        try (HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build()) {
-            HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
-            if (response.statusCode() != HTTP_OK) {
-                throw new IOException("status " + response.statusCode());
-            }
-            return MAPPER.readTree(response.body());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-            throw new IOException("interrupted", e);
-        }
+        return entries.silent().isEmpty() && versions.size() <= 1 ? ExitStatus.OK : ExitStatus.REFUSED;
     }
 
     private static void print(Console console, JsonNode report) {
--- a/entry/src/main/java/org/verbenatally/entry/StatusView.java
+++ b/entry/src/main/java/org/verbenatally/entry/StatusView.java
@@ -118,6 +118,7 @@
     /** Returns the use of the error budget. */
     JsonObject burn() {
         return metrics.budget()
-                .burn(config.deployment().map(d -> d.levels().objective()).orElse(DEFAULT_OBJECTIVE));
+                .burn(config.deployment().map(d -> d.levels().objective()).orElse(DEFAULT_OBJECTIVE))
+                .put("instance", instance);
     }
 }
--- a/entry/src/main/java/org/verbenatally/entry/caller/Delivery.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Delivery.java
@@ -5,6 +5,7 @@
 
 import org.verbenatally.config.Deployment;
 import org.verbenatally.entry.operator.EntryMetrics;
+import org.verbenatally.entry.operator.Service;
 
 /** Measures the tokens of one stream against the latency targets. Used by one task. */
 final class Delivery {
@@ -39,8 +40,11 @@
         first = false;
     }
 
-    /** Tells whether the first token and the objective's share of the gaps were in time. */
-    boolean metLevels() {
-        return tokens > 0 && !firstLate && lateGaps <= (1 - levels.objective()) * tokens;
+    /** Returns how a complete answer was served; of its gaps, the objective's share must be in time. */
+    Service service() {
+        if (firstLate) {
+            return Service.LATE;
+        }
+        return lateGaps <= (1 - levels.objective()) * tokens ? Service.MET : Service.STALLED;
     }
 }
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -19,6 +19,7 @@
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
+import org.verbenatally.entry.operator.Service;
 import org.verbenatally.entry.target.EngineStream;
 import org.verbenatally.entry.target.TokenFeed;
 import org.verbenatally.policy.Flight;
@@ -318,7 +319,7 @@
                         answer.end(end.tokens());
                         exchange.note("done after " + end.tokens() + " tokens");
                         parts.metrics().answered(work.kind().name(), Outcome.DONE);
-                        parts.metrics().budget().count(delivery.metLevels());
+                        served(delivery.service());
                         return Attempt.done();
                     }
                     case TokenFeed.Lost lost -> throw new IllegalStateException(lost.message());
@@ -376,10 +377,19 @@
         Problem problem = mayHaveRun && found.outcome() == Outcome.NOT_RUN ? found.withOutcome(Outcome.UNKNOWN) : found;
         parts.metrics().answered(work.kind().name(), problem.outcome());
         parts.metrics().failed(problem.step());
-        parts.metrics().budget().count(false);
+        boolean callerLeft = stopped()
+                .filter(reason -> reason == Stop.ABANDONED || reason == Stop.CANCELLED)
+                .isPresent();
+        if (!callerLeft) {
+            served(problem.outcome() == Outcome.NOT_RUN ? Service.REFUSED : Service.LOST);
+        }
         answer.fail(problem);
     }
 
+    private void served(Service service) {
+        parts.metrics().budget().count(work.kind().name(), work.organisation().id(), service);
+    }
+
     private String token(TargetId target, GenerationId generation) {
         return parts.streamTokens()
                 .write(new StreamTokens.Claims(
--- a/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
@@ -21,6 +21,7 @@
 import org.verbenatally.entry.key.CallResult;
 import org.verbenatally.entry.key.CallRunner;
 import org.verbenatally.entry.key.KeyedCalls;
+import org.verbenatally.entry.operator.Service;
 import org.verbenatally.policy.Fingerprint;
 
 /** Handles work, completion and key requests. */
@@ -196,6 +197,13 @@
 
     private void answer(Exchange exchange, Kind kind, CallResult result) {
         parts.metrics().answered(kind.name(), result.outcome());
+        Service service =
+                switch (result.outcome()) {
+                    case DONE -> Service.MET;
+                    case NOT_RUN -> Service.REFUSED;
+                    case UNKNOWN -> Service.LOST;
+                };
+        parts.metrics().budget().count(kind.name(), exchange.organisation().id(), service);
         if (result.outcome() == Outcome.DONE) {
             exchange.note("answered by " + result.peer() + " with status " + result.status());
             exchange.succeed(result.status(), "application/json", Buffer.buffer(result.body()));
--- /dev/null
+++ b/entry/src/test/java/org/verbenatally/entry/operator/ErrorBudgetTest.java
@@ -0,0 +1,62 @@
+package org.verbenatally.entry.operator;
+
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import io.vertx.core.json.JsonObject;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.core.KindName;
+import org.verbenatally.core.OrganisationId;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+class ErrorBudgetTest {
+    private static final KindName GUIDE = new KindName("guide");
+    private static final OrganisationId TANA = new OrganisationId("tana");
+
+    private final AtomicLong nanos = new AtomicLong(5);
+    private final ErrorBudget budget = new ErrorBudget(nanos::get);
+
+    /** Guards against misses that are shown after their window has passed, or not shown within it. */
+    @Test
+    void windowsForgetOldRequests() {
+        count(8, Service.MET);
+        count(1, Service.LATE);
+        count(1, Service.LOST);
+        assertThat(window(0).getDouble("burnRate")).isEqualTo(0.2 / 0.05, within(1e-9));
+
+        nanos.addAndGet(TimeUnit.MINUTES.toNanos(10));
+        assertThat(window(0).getLong("requests")).isZero();
+        assertThat(window(1).getLong("missed")).isEqualTo(2);
+        assertThat(window(1).getLong("late")).isEqualTo(1);
+
+        nanos.addAndGet(TimeUnit.MINUTES.toNanos(55));
+        assertThat(window(2).getLong("requests")).isZero();
+        assertThat(budget.burn(0.95).getJsonArray("organisations")).isEmpty();
+    }
+
+    /** Guards against a report that hides which organisation suffers. */
+    @Test
+    void organisationsThatMissedMostComeFirst() {
+        budget.count(GUIDE, new OrganisationId("gibe"), Service.MET);
+        count(2, Service.STALLED);
+        JsonObject first = budget.burn(0.95).getJsonArray("organisations").getJsonObject(0);
+        assertThat(first.getString("organisation")).isEqualTo("tana");
+        assertThat(first.getLong("stalled")).isEqualTo(2);
+    }
+
+    private void count(int times, Service service) {
+        for (int i = 0; i < times; i++) {
+            budget.count(GUIDE, TANA, service);
+        }
+    }
+
+    private JsonObject window(int index) {
+        return budget.burn(0.95)
+                .getJsonArray("kinds")
+                .getJsonObject(0)
+                .getJsonArray("windows")
+                .getJsonObject(index);
+    }
+}
