Send configuration changes as deltas by lines

Change: a request names the document that the member has; a peer that came from the same one answers with the lines that differ. The digest of the result is checked. The benchmark shows whole documents and deltas apart.

--- a/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
+++ b/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
@@ -1,5 +1,6 @@
 package org.verbenatally.peer;
 
+import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Collections;
@@ -22,8 +23,10 @@
 import org.verbenatally.config.Deployment;
 import org.verbenatally.peer.FrameCodec.BadFrameException;
 import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.ConfigDelta;
 import org.verbenatally.wire.ConfigDocument;
 import org.verbenatally.wire.ConfigRequest;
+import org.verbenatally.wire.DeltaPart;
 import org.verbenatally.wire.PeerFrame;
 
 /** Puts the highest valid document that the platform or a peer offers in force, and never a lower one. */
@@ -33,6 +36,9 @@
     /** Rejected documents that are remembered, so that they are not fetched again from each peer. */
     private static final int MAX_REJECTED = 64;
 
+    /** A delta is sent if it is this many times smaller than the document, which compresses about as well. */
+    private static final int MIN_DELTA_GAIN = 8;
+
     private final String deployment;
     private final PeerTimings timings;
     private final TimerService timers;
@@ -43,9 +49,11 @@
     private final AtomicLong conflicts = new AtomicLong();
     private final AtomicLong rejections = new AtomicLong();
     private final AtomicLong fetches = new AtomicLong();
+    private final AtomicLong deltas = new AtomicLong();
     private volatile String lastFault = "none was offered";
     private String lastConflict = "";
     private volatile Fetch fetch;
+    private volatile ConfigDocumentInForce previous;
 
     private record Fetch(Link link, long until) {}
 
@@ -93,6 +101,10 @@
         return fetches.get();
     }
 
+    long deltas() {
+        return deltas.get();
+    }
+
     boolean isFetching() {
         Fetch f = fetch;
         return f != null && !f.link().isClosed() && timers.nanos() - f.until() < 0;
@@ -110,7 +122,9 @@
             fetch = new Fetch(link, timers.nanos() + timings.startAsk().toNanos());
         }
         fetches.incrementAndGet();
-        link.send(PeerFrame.configRequest(new ConfigRequest(version())));
+        var request = new ConfigRequest(version());
+        holder.document().ifPresent(d -> request.setBaseDigest(d.digest()));
+        link.send(PeerFrame.configRequest(request));
     }
 
     private boolean isHigher(long version, byte[] digest) {
@@ -140,21 +154,49 @@
         }
     }
 
-    /** Answers a peer that asks for the document in force. */
+    /** Answers a peer that asks for the document in force, with a delta if the peer's document is known here. */
     void onRequest(Link link, ConfigRequest request) {
         holder.document()
                 .filter(d -> d.deployment().version().value() >= request.getNewerThan())
-                .ifPresent(d -> link.send(PeerFrame.configDocument(new ConfigDocument(
-                        d.deployment().version().value(),
-                        java.nio.ByteBuffer.wrap(d.digest()),
-                        java.nio.ByteBuffer.wrap(FrameCodec.deflate(d.body()))))));
+                .ifPresent(d -> link.send(answer(d, request)));
+    }
+
+    private PeerFrame answer(ConfigDocumentInForce d, ConfigRequest request) {
+        long version = d.deployment().version().value();
+        ConfigDocumentInForce base = previous;
+        if (base != null && request.isSetBaseDigest() && Arrays.equals(base.digest(), request.getBaseDigest())) {
+            List<DeltaPart> parts = DocumentDelta.between(base.body(), d.body());
+            if (DocumentDelta.size(parts) < d.body().length / MIN_DELTA_GAIN) {
+                return PeerFrame.configDelta(
+                        new ConfigDelta(version, ByteBuffer.wrap(d.digest()), ByteBuffer.wrap(base.digest()), parts));
+            }
+        }
+        return PeerFrame.configDocument(new ConfigDocument(
+                version, ByteBuffer.wrap(d.digest()), ByteBuffer.wrap(FrameCodec.deflate(d.body()))));
+    }
+
+    /** Takes the difference to the own document; asks for the whole one if that has changed in the meantime. */
+    void onDelta(Link link, ConfigDelta delta) throws BadFrameException {
+        Optional<ConfigDocumentInForce> base =
+                holder.document().filter(d -> Arrays.equals(d.digest(), delta.getBaseDigest()));
+        if (base.isEmpty()) {
+            link.send(PeerFrame.configRequest(new ConfigRequest(version())));
+            return;
+        }
+        byte[] body = DocumentDelta.apply(base.get().body(), delta.getParts(), ConfigReader.MAX_BYTES);
+        deltas.incrementAndGet();
+        take(link, delta.getVersion(), delta.getDigest(), body);
     }
 
     /** Takes the document of a peer; throws if it is not what its digest says, which closes the link. */
     void onDocument(Link link, ConfigDocument document) throws BadFrameException {
         byte[] body = FrameCodec.inflate(document.getBody(), ConfigReader.MAX_BYTES);
-        if (!Arrays.equals(ConfigReader.digest(body), document.getDigest())) {
-            throw new IllegalArgumentException("document of version " + document.getVersion() + " has another digest");
+        take(link, document.getVersion(), document.getDigest(), body);
+    }
+
+    private void take(Link link, long version, byte[] digest, byte[] body) {
+        if (!Arrays.equals(ConfigReader.digest(body), digest)) {
+            throw new IllegalArgumentException("document of version " + version + " has another digest");
         }
         try {
             offer("peer " + link, body);
@@ -186,7 +228,9 @@
             }
             // Notes a conflict if there is one; the holder decides again under its own lock.
             isHigher(document.deployment().version().value(), digest);
+            ConfigDocumentInForce before = holder.document().orElse(null);
             if (holder.offer(document)) {
+                previous = before;
                 LOG.infof(
                         "config: version %s from %s is in force",
                         document.deployment().version(), source);
--- a/core/src/main/java/org/verbenatally/peer/Link.java
+++ b/core/src/main/java/org/verbenatally/peer/Link.java
@@ -43,8 +43,8 @@
         void onClosed(Link link, String reason);
     }
 
-    /** Bytes sent and received by all links of an instance. */
-    record Traffic(AtomicLong sent, AtomicLong received) {}
+    /** Bytes sent and received by all links of an instance, and sent in configuration documents. */
+    record Traffic(AtomicLong sent, AtomicLong received, AtomicLong config) {}
 
     final int id;
     final boolean dialled;
@@ -167,6 +167,9 @@
         try {
             Buffer bytes = FrameCodec.encode(frame);
             traffic.sent().addAndGet(bytes.length());
+            if (frame.isSetConfigDocument() || frame.isSetConfigDelta()) {
+                traffic.config().addAndGet(bytes.length());
+            }
             socket.write(bytes);
             return true;
         } catch (BadFrameException e) {
--- a/core/src/main/java/org/verbenatally/peer/Links.java
+++ b/core/src/main/java/org/verbenatally/peer/Links.java
@@ -63,7 +63,7 @@
     private final Map<Address, Backoff> backoffs = new ConcurrentHashMap<>();
     private final Set<Address> hints = ConcurrentHashMap.newKeySet();
     private final Set<Address> ownAddresses = ConcurrentHashMap.newKeySet();
-    private final Traffic traffic = new Traffic(new AtomicLong(), new AtomicLong());
+    private final Traffic traffic = new Traffic(new AtomicLong(), new AtomicLong(), new AtomicLong());
     private long nextRenewal;
     private long nextFarDial;
     private volatile boolean closing;
--- a/core/src/main/java/org/verbenatally/peer/PeerBench.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -109,11 +109,10 @@
                 "heap KiB idle",
                 "heap KiB with document",
                 "platform reads/s",
-                "small document everywhere ms",
                 "document KiB",
-                "everywhere ms",
-                "CPU ms per version",
-                "KiB per version"));
+                "small document: in force everywhere after, CPU and bytes per member",
+                "whole document",
+                "one line changed"));
     }
 
     /** A member that has requests in flight and receives what others have. */
@@ -186,7 +185,7 @@
     }
 
     /** Sums over all members and the process at one moment. */
-    private record Reading(long nanos, long cpu, long bytes, long reads, long links) {}
+    private record Reading(long nanos, long cpu, long bytes, long config, long reads, long links) {}
 
     private void run(int n) throws Exception {
         Vertx vertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(4));
@@ -219,15 +218,12 @@
         double bytes = (after.bytes() - before.bytes()) / time / n;
         long falsely = members.stream().mapToLong(m -> n - m.live()).sum();
         double heapIdle = (usedHeap() - heapBefore) / KIB / n;
-        long slowestSmall = publishAll(2, 1, 1, members, platform);
-        Reading start = read(members, platform);
-        long slowest = publishAll(2 + PUBLISHED, targets(n), n, members, platform);
-        Reading end = read(members, platform);
-        double published = (end.nanos() - start.nanos()) / 1e9;
-        double documentBytes = ((end.bytes() - start.bytes()) / (double) n - bytes * published) / PUBLISHED;
+        Cost small = publish(2, PUBLISHED, 1, members, platform);
+        Cost whole = publish(2 + PUBLISHED, 1, n, members, platform);
+        Cost delta = publish(3 + PUBLISHED, PUBLISHED, n, members, platform);
         out.printf(
                 Locale.ROOT,
-                "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %d | %.0f | %d | %.1f | %.1f%s%n",
+                "%7d | %5.1f | %.2f | %.0f | %.0f | %.0f | %.1f | %.0f | %s | %s | %s%s%n",
                 n,
                 (double) after.links() / n,
                 (after.cpu() - before.cpu()) / 1e9 / time / n * 100,
@@ -235,22 +231,38 @@
                 heapIdle,
                 (usedHeap() - heapBefore) / KIB / n,
                 (after.reads() - before.reads()) / time,
-                slowestSmall,
                 document(2, targets(n), n).length / KIB,
-                slowest,
-                (end.cpu() - start.cpu()) / 1e6 / n / PUBLISHED,
-                documentBytes / KIB,
+                small,
+                whole,
+                delta,
                 falsely == 0 ? "" : " | " + falsely + " views not live");
     }
 
-    private static long publishAll(
-            long firstVersion, int targets, int organisations, List<Member> members, BenchPlatform platform)
+    /** What publishing costs: the slowest time, and per member and version the CPU and the bytes in and out. */
+    private record Cost(long everywhereMs, double cpuMs, double kib) {
+        @Override
+        public String toString() {
+            return "%d ms, %.1f ms, %.1f KiB".formatted(everywhereMs, cpuMs, kib);
+        }
+    }
+
+    /** Publishes versions one after another, in the document size of a fleet of the given size. */
+    private static Cost publish(long first, int versions, int size, List<Member> members, BenchPlatform platform)
             throws InterruptedException {
+        Reading start = read(members, platform);
         long slowest = 0;
-        for (int i = 0; i < PUBLISHED; i++) {
-            slowest = Math.max(slowest, publish(firstVersion + i, targets, organisations, members, platform));
+        for (long version = first; version < first + versions; version++) {
+            byte[] body = document(version, size == 1 ? 1 : targets(size), size);
+            long published = System.nanoTime();
+            platform.publish(version, body);
+            long expected = version;
+            await("version " + version + " everywhere", () -> members.stream().allMatch(m -> m.version() == expected));
+            slowest = Math.max(slowest, (System.nanoTime() - published) / 1_000_000);
         }
-        return slowest;
+        Reading end = read(members, platform);
+        double n = (double) members.size() * versions;
+        // What one member sends another receives, so in and out together are twice what was sent.
+        return new Cost(slowest, (end.cpu() - start.cpu()) / 1e6 / n, 2 * (end.config() - start.config()) / KIB / n);
     }
 
     private List<Member> start(int n, Vertx vertx, TimerService timers, Address platform) throws Exception {
@@ -284,16 +296,6 @@
         return n * TARGETS / FLEET;
     }
 
-    private static long publish(
-            long version, int targets, int organisations, List<Member> members, BenchPlatform platform)
-            throws InterruptedException {
-        byte[] body = document(version, targets, organisations);
-        long start = System.nanoTime();
-        platform.publish(version, body);
-        await("version " + version + " everywhere", () -> members.stream().allMatch(m -> m.version() == version));
-        return (System.nanoTime() - start) / 1_000_000;
-    }
-
     private static Reading read(List<Member> members, BenchPlatform platform) {
         var os = (OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean();
         long bytes = members.stream()
@@ -301,7 +303,10 @@
                 .mapToLong(s -> s.bytesSent() + s.bytesReceived())
                 .sum();
         long links = members.stream().mapToLong(m -> m.peers.stats().links()).sum();
-        return new Reading(System.nanoTime(), os.getProcessCpuTime(), bytes, platform.reads(), links);
+        long config = members.stream()
+                .mapToLong(m -> m.peers.stats().configBytesSent())
+                .sum();
+        return new Reading(System.nanoTime(), os.getProcessCpuTime(), bytes, config, platform.reads(), links);
     }
 
     private static long usedHeap() {
@@ -319,21 +324,22 @@
         }
     }
 
+    /** Returns a document in which one version differs from the next by its number and one organisation. */
     private static byte[] document(long version, int targets, int organisations) {
-        var text = new StringBuilder("{\"deployment\":\"bench\",\"version\":" + version + ",\"entryCount\":330,"
+        var text = new StringBuilder("{\"deployment\":\"bench\",\"version\":" + version + ",\n\"entryCount\":330,"
                 + "\"kinds\":[{\"name\":\"guide\",\"runsOn\":\"engine\",\"model\":\"m1\",\"urgency\":\"patient\","
                 + "\"value\":\"high\",\"repeatable\":true,\"delivery\":\"stream\",\"deadlineMs\":60000}],\n"
                 + "\"organisations\":[");
         for (int i = 0; i < organisations; i++) {
             text.append(i == 0 ? "" : ",\n")
                     .append("{\"id\":\"organisation-%d\",\"credentialSha256\":\"%064x\",\"share\":%d}"
-                            .formatted(i, i * 0x9E3779B97F4A7C15L, 1 + i % 7));
+                            .formatted(i, i * 0x9E3779B97F4A7C15L, i == version % organisations ? 9 : 1 + i % 7));
         }
         String engine = "{\"id\":\"engine-%d\",\"type\":\"engine\",\"host\":\"10.%d.%d.7\",\"port\":9000,"
-                + "\"failureDomain\":\"domain-%d\",\"models\":[{\"model\":\"m1\",\"version\":\"%d\"}]}";
+                + "\"failureDomain\":\"domain-%d\",\"models\":[{\"model\":\"m1\",\"version\":\"1\"}]}";
         text.append("],\n\"targets\":[");
         for (int i = 0; i < targets; i++) {
-            text.append(i == 0 ? "" : ",\n").append(engine.formatted(i, i >> 8, i & 255, i % 15, version));
+            text.append(i == 0 ? "" : ",\n").append(engine.formatted(i, i >> 8, i & 255, i % 15));
         }
         return text.append("]}").toString().getBytes(StandardCharsets.UTF_8);
     }
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -257,6 +257,7 @@
                 case GOSSIP -> onGossip(link, frame.getGossip());
                 case CONFIG_REQUEST -> spreader.onRequest(link, frame.getConfigRequest());
                 case CONFIG_DOCUMENT -> spreader.onDocument(link, frame.getConfigDocument());
+                case CONFIG_DELTA -> spreader.onDelta(link, frame.getConfigDelta());
                 case FORWARD_CALL -> forwarder.onCall(link, frame.getForwardCall());
                 case FORWARD_RESULT -> forwarder.onResult(link, frame.getForwardResult());
                 case KEY_TRANSFER -> forwarder.onTransfer(link, frame.getKeyTransfer());
@@ -322,9 +323,11 @@
         return new PeerStats(
                 links.traffic().sent().get(),
                 links.traffic().received().get(),
+                links.traffic().config().get(),
                 links.all().size(),
                 platform.map(PlatformReader::reads).orElse(0L),
                 spreader.fetches(),
+                spreader.deltas(),
                 spreader.conflicts(),
                 spreader.rejections());
     }
--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -94,6 +94,22 @@
         assertThat(rejections > 0).isEqualTo(fault.equals("invalid"));
     }
 
+    /** Guards against whole documents on all links for each small change, which would pass the traffic limit. */
+    @Test
+    void smallChangeOfALargeDocumentTravelsAsDelta() throws Exception {
+        Address platform = platform();
+        String padding = "padding\n// ".repeat(400);
+        served.put(platform, Fleet.document(1, padding));
+        fleet.start("e1", Optional.of(platform), fleet.timers);
+        fleet.start("e2");
+        fleet.awaitAllLive();
+        Fleet.await(() -> fleet.node("e2").version() == 1);
+        served.put(platform, Fleet.document(2, padding));
+        Fleet.await(() -> fleet.node("e2").version() == 2);
+        assertThat(fleet.node("e2").peers.stats().configDeltas()).isEqualTo(1);
+        assertThat(fleet.node("e2").config.document().orElseThrow().body()).isEqualTo(Fleet.document(2, padding));
+    }
+
     /** Guards against an instance that serves without a configuration or with one that its peers have replaced. */
     @Test
     void startingInstanceIsReadyOnlyWithTheVersionOfItsPeers() throws Exception {
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -85,7 +85,9 @@
 
 /** Asks for the sender's deployment document in force. */
 struct ConfigRequest {
-  1: required i64 newerThan
+  1: required i64 newerThan,
+  /** SHA-256 of the document that the sender has; set if a delta to it will do. */
+  2: optional binary baseDigest
 }
 
 /** The deployment document in force. */
@@ -97,6 +99,22 @@
   3: required binary body
 }
 
+/** Some lines of the base document, or text that it lacks. Lines include their line feed. */
+struct DeltaPart {
+  1: optional i32 firstLine,
+  2: optional i32 lines,
+  3: optional binary text
+}
+
+/** The deployment document in force as the difference to one that the receiver has. */
+struct ConfigDelta {
+  1: required i64 version,
+  /** SHA-256 of the resulting document. */
+  2: required binary digest,
+  3: required binary baseDigest,
+  4: required list<DeltaPart> parts
+}
+
 /** A call with an idempotency key, sent to the key's owner. */
 struct ForwardCall {
   1: required i64 callId,
@@ -155,5 +173,6 @@
   5: ForwardCall forwardCall,
   6: ForwardResult forwardResult,
   7: KeyTransfer keyTransfer,
-  8: KeyTransferAck keyTransferAck
+  8: KeyTransferAck keyTransferAck,
+  9: ConfigDelta configDelta
 }
