--- a/core/src/main/java/org/verbenatally/policy/PolicySuite.java
+++ b/core/src/main/java/org/verbenatally/policy/PolicySuite.java
@@ -34,6 +34,11 @@
         return NAMES;
     }
 
+    /** Tells whether a suite is a candidate that uses this system's own estimates, and not a baseline. */
+    public static boolean isCandidate(String name) {
+        return name.endsWith("-corrected");
+    }
+
     /** Returns the suite that the system property {@value #PROPERTY} names, or the default one. */
     public static PolicySuite fromSystemProperty() {
         return byName(System.getProperty(PROPERTY, DEFAULT));
@@ -51,7 +56,8 @@
             case "fewest-in-flight" -> baseline(name, BaselineRouting.fewestInFlight());
             case "lowest-reported" -> baseline(name, BaselineRouting.lowestReported());
             case "two-choices" -> baseline(name, BaselineRouting.twoChoices());
-            case "key-value-pressure" -> baseline(name, BaselineRouting.keyValuePressure());
+            case "key-value-pressure" -> baseline(name, BaselineRouting.keyValuePressure(false));
+            case "key-value-pressure-corrected" -> baseline(name, BaselineRouting.keyValuePressure(true));
             default ->
                 throw new IllegalArgumentException("policy must be one of " + String.join(", ", NAMES) + ": " + name);
         };
--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -30,12 +30,16 @@
 
     private final Set<RunningFlight> flights = new LinkedHashSet<>();
     private final LoadTrace trace = new LoadTrace();
-    private final KvForecast forecast = new KvForecast();
+    private KvForecast forecast = new KvForecast();
     private final ConcurrencyLimit limit;
 
     private volatile Target target;
     private volatile Received received;
+    /** The target itself said that it is leaving, in a report or a refusal. */
     private volatile boolean leaving;
+    /** The platform's list or a peer says that it is leaving. */
+    private volatile boolean leavingElsewhere;
+
     private volatile long refusedNanos;
     private volatile boolean refusedOnce;
     private Optional<Incarnation> leavingRun = Optional.empty();
@@ -70,7 +74,7 @@
     /** Tells whether the target may get new work of a kind: it is not leaving and has the model loaded. */
     boolean mayRun(Kind kind) {
         Target present = target;
-        if (leaving || present.leaving() || present.type() != kind.runsOn()) {
+        if (leaving() || present.leaving() || present.type() != kind.runsOn()) {
             return false;
         }
         return kind.model().isEmpty() || hasModel(kind.model().get(), present);
@@ -98,9 +102,18 @@
     }
 
     boolean leaving() {
+        return leaving || leavingElsewhere;
+    }
+
+    /** Tells whether the target itself said so. */
+    boolean saidLeaving() {
         return leaving;
     }
 
+    void leavingElsewhere(boolean said) {
+        leavingElsewhere = said;
+    }
+
     synchronized void markLeaving() {
         if (!leaving) {
             leavingRun = Optional.ofNullable(received).map(r -> r.load().incarnation());
@@ -147,7 +160,7 @@
         ownTokens += flight.heldTokens();
         sent++;
         claimed++;
-        forecastValid = false;
+        forecast.add(flight.heldTokens(), flight.expectedRemaining(), 1);
     }
 
     /** Removes a flight; returns the flights that ran beside it if it is the first to tell of a crash. */
@@ -155,7 +168,7 @@
         record(now);
         ownRequests--;
         ownTokens -= flight.heldTokens();
-        forecastValid = false;
+        forecast.add(flight.heldTokens(), flight.expectedRemaining(), -1);
         boolean first = flights.remove(flight);
         if (end != FlightEnd.CRASHED || !first) {
             return List.of();
@@ -231,7 +244,7 @@
         }
         LoadReport report = last == null ? null : loadReport(last, now);
         long capacity = last == null ? 0 : last.load().kvCapacityTokens();
-        Estimate estimate = new Estimate(requests, tokens, forecast.peak(), forecast.steps(), capacity, limit.margin());
+        Estimate estimate = new Estimate(requests, tokens, forecast, capacity, limit.margin());
         int max = target.maxConcurrent();
         return new TargetSnapshot(
                 target.id(),
@@ -258,20 +271,20 @@
     }
 
     private void computeForecast(long now, FlightView view, double requests, double tokens) {
-        forecast.clear();
+        KvForecast made = new KvForecast();
         growth = 0;
         for (RunningFlight flight : flights) {
             double remaining = flight.expectedRemaining();
             growth += remaining;
-            forecast.add(flight.heldTokens(), remaining, 1);
+            made.add(flight.heldTokens(), remaining, 1);
         }
         double others = requests - flights.size();
         if (others > 0) {
             double held = Math.max(0, tokens - ownTokens) / others;
             double[] remaining = view.remainingQuantiles();
-            Arrays.stream(remaining).forEach(r -> forecast.add(held, r, others / remaining.length));
+            Arrays.stream(remaining).forEach(r -> made.add(held, r, others / remaining.length));
         }
-        forecast.compute();
+        forecast = made;
         forecastNanos = now;
         forecastValid = true;
     }
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 
@@ -20,6 +21,7 @@
 import org.verbenatally.entry.key.KeyedCalls;
 import org.verbenatally.entry.operator.EntryMetrics;
 import org.verbenatally.entry.operator.RequestLog;
+import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
 import org.verbenatally.peer.PeerNetwork;
 import org.verbenatally.policy.Dispatcher;
@@ -34,6 +36,7 @@
     private static final int MAX_VERTICLES = 4;
 
     private static final int MAX_HEADER_BYTES = 8_192;
+    private static final Duration TLS_CHECK = Duration.ofSeconds(10);
     private static final int MAX_LINE_BYTES = 4_096;
 
     private final Vertx vertx;
@@ -41,6 +44,7 @@
     private final KeyedCalls keyedCalls;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
     private final AtomicInteger open = new AtomicInteger();
+    private final IdleConnections idle = new IdleConnections();
     private volatile int port;
 
     private enum Phase {
@@ -59,6 +63,7 @@
      * @param targets target table
      * @param suspects suspect table
      * @param clients clients of targets
+     * @param loads reads load reports
      * @param issuer issues idempotency keys
      * @param peers links to other entries
      * @param streamKeys secrets that sign stream tokens, the newest first
@@ -74,6 +79,7 @@
             TargetTable targets,
             SuspectTable suspects,
             TargetClients clients,
+            LoadPoller loads,
             KeyIssuer issuer,
             PeerNetwork peers,
             List<String> streamKeys,
@@ -87,6 +93,7 @@
                 targets,
                 suspects,
                 clients,
+                loads,
                 peers,
                 new StreamTokens(streamKeys),
                 metrics,
@@ -98,6 +105,8 @@
         metrics.gauge("verbenatally.open.requests", open::get);
         metrics.gauge("verbenatally.open.generations", () -> parts.runs().count());
         metrics.gauge("verbenatally.used.keys", () -> keyedCalls.store().used());
+        metrics.gauge("verbenatally.connections", idle::count);
+        timer.every(Duration.ofSeconds(5), tick -> idle.closeIdle());
         timer.every(
                 Duration.ofMinutes(1),
                 tick -> config.deployment()
@@ -111,29 +120,40 @@
 
     /** Starts to listen; completes with the port. */
     public Future<Integer> listen(ListenerSettings settings) {
+        Optional<CallerTls> tls = Optional.ofNullable(settings.getTls()).map(CallerTls::new);
+        tls.ifPresent(t ->
+                parts.timer().every(TLS_CHECK, tick -> Thread.ofVirtual().start(t::reloadIfChanged)));
         int verticles = Math.clamp(Runtime.getRuntime().availableProcessors(), 1, MAX_VERTICLES);
         DeploymentOptions options = new DeploymentOptions()
                 .setThreadingModel(ThreadingModel.VIRTUAL_THREAD)
                 .setInstances(verticles);
-        return vertx.deployVerticle(() -> new Verticle(settings), options).map(id -> port);
+        return vertx.deployVerticle(() -> new Verticle(settings, tls), options).map(id -> port);
     }
 
     private final class Verticle extends VerticleBase {
         private final ListenerSettings settings;
+        private final Optional<CallerTls> tls;
 
-        Verticle(ListenerSettings settings) {
+        Verticle(ListenerSettings settings, Optional<CallerTls> tls) {
             this.settings = settings;
+            this.tls = tls;
         }
 
         @Override
         public Future<?> start() {
             CallerHandler handler = new CallerHandler(parts, keyedCalls, vertx, () -> phase.get() == Phase.SERVING);
-            HttpServer server = vertx.createHttpServer(options(settings));
+            HttpServerOptions options = options();
+            tls.ifPresent(t -> t.apply(options));
+            HttpServer server = vertx.createHttpServer(options);
+            tls.ifPresent(t -> t.add(server));
+            server.connectionHandler(idle::opened);
             server.requestHandler(request -> {
                 open.incrementAndGet();
+                idle.begin(request.connection());
                 try {
                     handler.handle(request);
                 } finally {
+                    idle.end(request.connection());
                     open.decrementAndGet();
                 }
             });
@@ -143,7 +163,7 @@
         }
     }
 
-    private static HttpServerOptions options(ListenerSettings settings) {
+    private static HttpServerOptions options() {
         return new HttpServerOptions()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setMaxInitialLineLength(MAX_LINE_BYTES)
