--- a/tools/src/main/java/org/verbenatally/faults/StopCases.java
+++ b/tools/src/main/java/org/verbenatally/faults/StopCases.java
@@ -17,7 +17,7 @@
     /** Time for the first entry to learn of a departure: report lag, report period and a margin for a busy machine. */
     private static final long LEARN_MS = 2_000;
 
-    /** Time for an entry to learn of it from the platform: lag 0.5 s, read every 2 s, and a margin for a busy machine. */
+    /** Time for an entry to learn of it from the platform: lag 0.5 s, read every 2 s, margin for a busy machine. */
     private static final long LIST_MS = 3_500;
 
     private static final long BOUND_MS = 2_000;
