Take ports that no outgoing connection can occupy, model the load balancer

Cause: A chosen port was sometimes taken as the source of a connection before the entry listened on it ('entry-2 ended before it printed listening', twice in 37 cases at load 60). Change: Ports lie below the ephemeral range; the workload stops sending to a stopping entry after the 3 s of the design; the new case late-callers-at-stopping-entry keeps sending until the process ends. Conclusion: a request that reaches a stopping entry at its very end is judged by a case of its own.

--- a/tools/src/main/java/org/verbenatally/faults/Cluster.java
+++ b/tools/src/main/java/org/verbenatally/faults/Cluster.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -15,6 +13,7 @@
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
@@ -40,6 +39,9 @@
             JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
     private static final Duration START_LIMIT = Duration.ofSeconds(60);
     private static final int STATUS_PERIOD_MS = 200;
+    /** Section 5.6 of the design: a stopping entry accepts work for this long, because the load balancer lags. */
+    private static final long BALANCER_LAG_MS = 3_000;
+
     /** Distinguishes the relay in front of an entry's peer port from the one in front of its caller port. */
     private static final String PEER = "peer:";
 
@@ -51,6 +53,7 @@
     private final Links links;
     private final List<EntryNode> entries = new ArrayList<>();
     private final Map<String, Address> relays = new ConcurrentHashMap<>();
+    private final Map<Integer, Long> stoppedAtMs = new ConcurrentHashMap<>();
     private final AtomicBoolean closed = new AtomicBoolean();
     private Deployment deployment;
 
@@ -129,7 +132,9 @@
     }
 
     private void prepareEntries() {
-        List<Integer> ports = freePorts(options.entries());
+        List<Integer> ports = IntStream.range(0, options.entries())
+                .mapToObj(i -> Ports.pick())
+                .toList();
         List<String> domains = new ArrayList<>();
         document.path("targets")
                 .forEach(target -> domains.add(target.path("failureDomain").asText()));
@@ -142,8 +147,8 @@
                     .put("deployment", options.deployment())
                     .put("drainSeconds", options.drainSeconds())
                     .put("seed", options.seed() + i);
-            settings.putObject("callers").put("host", "127.0.0.1").put("port", 0);
-            settings.putObject("operator").put("host", "127.0.0.1").put("port", 0);
+            settings.putObject("callers").put("host", "127.0.0.1").put("port", Ports.pick());
+            settings.putObject("operator").put("host", "127.0.0.1").put("port", Ports.pick());
             ObjectNode peers = settings.putObject("peers")
                     .put("host", "127.0.0.1")
                     .put("port", ports.get(i))
@@ -164,24 +169,6 @@
         return via(PEER + "entry-" + (entry + 1), new Address("127.0.0.1", port));
     }
 
-    private static List<Integer> freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        List<Integer> ports = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-                sockets.add(socket);
-                ports.add(socket.getLocalPort());
-            }
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-            return ports;
-        } catch (IOException e) {
-            throw new UncheckedIOException("cannot find a free port", e);
-        }
-    }
-
     private void register(EntryNode entry) {
         ObjectNode instance = MAPPER.createObjectNode()
                 .put("role", "entry")
@@ -297,11 +284,18 @@
         entry.start();
         entry.awaitAddresses();
         await(entry.name() + " ready", START_LIMIT, entry::isReady);
+        stoppedAtMs.remove(index);
+    }
+
+    /** Tells whether the platform's load balancer may still send to an entry: it notices a stop with a lag. */
+    boolean isBalancedTo(int index) {
+        return System.currentTimeMillis() - stoppedAtMs.getOrDefault(index, Long.MAX_VALUE) < BALANCER_LAG_MS;
     }
 
     /** Asks an entry to stop gracefully. */
     void stopEntry(int index) {
         history.add(new Stop(System.currentTimeMillis(), entries.get(index).name()));
+        stoppedAtMs.put(index, System.currentTimeMillis());
         entries.get(index).process().terminate();
     }
 
--- a/tools/src/main/java/org/verbenatally/faults/StopCases.java
+++ b/tools/src/main/java/org/verbenatally/faults/StopCases.java
@@ -34,6 +34,7 @@
                         "planned-stop-at-drain-bound",
                         seed -> ClusterOptions.of("abay", 3, seed).withDrainSeconds(5),
                         StopCases::drainBound),
+                FaultCase.abay("late-callers-at-stopping-entry", StopCases::lateCallers),
                 FaultCase.abay("rolling-replacement", StopCases::rolling),
                 FaultCase.abay("target-refuses-as-leaving", StopCases::targetRefuses),
                 FaultCase.abay("target-listed-as-leaving", StopCases::targetListed),
@@ -77,6 +78,25 @@
         trial.expectAllDone(guides, "guides that outlast the bound");
     }
 
+    /** Callers that the load balancer sends to a stopping entry up to its end get a refusal, not a lost connection. */
+    private static void lateCallers(Trial trial) {
+        var guides = trial.sendGuides(2, 300, 0);
+        trial.awaitTokensOfAll(1);
+        trial.cluster().stopEntry(0);
+        List<CompletableFuture<Answer>> late = new ArrayList<>();
+        long end = System.nanoTime() + EXIT_LIMIT.toNanos();
+        while (trial.cluster().entry(0).process().isAlive() && System.nanoTime() - end < 0) {
+            late.add(trial.send(trial.guide(10), 0));
+            Cluster.sleep(10);
+        }
+        trial.expectAllDone(guides, "guides at the stopping entry");
+        long lost = trial.await(late).stream()
+                .filter(answer -> answer.outcome() == null)
+                .count();
+        trial.figure("late-callers", late.size());
+        trial.expect(lost == 0, lost + " late callers lost their connection");
+    }
+
     private static void rolling(Trial trial) {
         Workload workload = trial.workload().start(10);
         List<Work> bookings = new ArrayList<>();
--- a/tools/src/main/java/org/verbenatally/faults/Targets.java
+++ b/tools/src/main/java/org/verbenatally/faults/Targets.java
@@ -42,7 +42,7 @@
             }
         }
         start(GROUP, shared);
-        options.apart().forEach(id -> start(id, List.of(arguments.get(id))));
+        options.apart().forEach(id -> start(id, List.of(arguments.get(id) + ",port=" + Ports.pick())));
     }
 
     private String argument(JsonNode target, ClusterOptions options) {
--- a/tools/src/main/java/org/verbenatally/faults/Workload.java
+++ b/tools/src/main/java/org/verbenatally/faults/Workload.java
@@ -73,7 +73,7 @@
 
     private void sendOne() {
         Work work = next();
-        int entry = random.nextInt(cluster.size());
+        int entry = balanced(random.nextInt(cluster.size()));
         int serial = started.incrementAndGet();
         open.register();
         Thread.ofVirtual().name("caller-" + serial).start(() -> {
@@ -88,6 +88,16 @@
         });
     }
 
+    private int balanced(int wanted) {
+        for (int i = 0; i < cluster.size(); i++) {
+            int entry = (wanted + i) % cluster.size();
+            if (cluster.isBalancedTo(entry)) {
+                return entry;
+            }
+        }
+        return wanted;
+    }
+
     /** Returns the next piece of work; each organisation sends according to its share. */
     Work next() {
         Kind kind = kinds.get(random.nextInt(kinds.size()));
