--- a/tools/src/main/java/org/verbenatally/faults/StopCases.java
+++ b/tools/src/main/java/org/verbenatally/faults/StopCases.java
@@ -89,6 +89,7 @@
             late.add(trial.send(trial.guide(10), 0));
             Cluster.sleep(10);
         }
+        trial.expect(!trial.cluster().entry(0).process().isAlive(), "the entry did not end while callers kept sending");
         trial.expectAllDone(guides, "guides at the stopping entry");
         long lost = trial.await(late).stream()
                 .filter(answer -> answer.outcome() == null)
