--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -19,6 +19,7 @@
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
+import org.verbenatally.entry.operator.Service;
 import org.verbenatally.entry.target.EngineStream;
 import org.verbenatally.entry.target.TokenFeed;
 import org.verbenatally.policy.Flight;
@@ -37,6 +38,9 @@
     /** Time for the first read of a stream whose address was given out with status 202. */
     private static final Duration FIRST_READ = Duration.ofSeconds(25);
 
+    /** Time without an answer after which a stream's head is sent, so that keep-alives can follow. */
+    private static final Duration EARLY_HEAD = Duration.ofSeconds(1);
+
     private final CallerParts parts;
     private final Exchange exchange;
     private final Answer answer;
@@ -49,6 +53,7 @@
     private CompletableFuture<Flight> waiting;
     private boolean mayHaveRun;
     private long timer = -1;
+    private long early = -1;
 
     /** Why a run ends before its generation. */
     enum Stop {
@@ -113,11 +118,13 @@
         parts.runs().add(this);
         long left = work.deadlineNanos() - parts.timer().nanos();
         timer = vertx.setTimer(Math.max(1, left / 1_000_000), id -> stop(Stop.DEADLINE));
+        early = vertx.setTimer(EARLY_HEAD.toMillis(), id -> openEarly());
         answer.onGone(() -> context.runOnContext(v -> callerGone()));
     }
 
     private void finish() {
         vertx.cancelTimer(timer);
+        vertx.cancelTimer(early);
         parts.runs().remove(this);
     }
 
@@ -222,7 +229,6 @@
         if (stopped().isPresent()) {
             future.cancel(false);
         }
-        long open = vertx.setTimer(Duration.ofSeconds(1).toMillis(), id -> openEarly());
         try {
             Flight flight = Future.fromCompletionStage(future, context).await();
             exchange.note("routed");
@@ -232,8 +238,6 @@
         } catch (CancellationException e) {
             RunProblems.stoppedWhileWaiting(stopped().orElse(Stop.ABANDONED), mayHaveRun)
                     .ifPresent(this::failed);
-        } finally {
-            vertx.cancelTimer(open);
         }
         return Optional.empty();
     }
@@ -315,7 +319,7 @@
                         answer.end(end.tokens());
                         exchange.note("done after " + end.tokens() + " tokens");
                         parts.metrics().answered(work.kind().name(), Outcome.DONE);
-                        parts.metrics().budget().count(delivery.metLevels());
+                        served(delivery.service());
                         return Attempt.done();
                     }
                     case TokenFeed.Lost lost -> throw new IllegalStateException(lost.message());
@@ -373,10 +377,19 @@
         Problem problem = mayHaveRun && found.outcome() == Outcome.NOT_RUN ? found.withOutcome(Outcome.UNKNOWN) : found;
         parts.metrics().answered(work.kind().name(), problem.outcome());
         parts.metrics().failed(problem.step());
-        parts.metrics().budget().count(false);
+        boolean callerLeft = stopped()
+                .filter(reason -> reason == Stop.ABANDONED || reason == Stop.CANCELLED)
+                .isPresent();
+        if (!callerLeft) {
+            served(problem.outcome() == Outcome.NOT_RUN ? Service.REFUSED : Service.LOST);
+        }
         answer.fail(problem);
     }
 
+    private void served(Service service) {
+        parts.metrics().budget().count(work.kind().name(), work.organisation().id(), service);
+    }
+
     private String token(TargetId target, GenerationId generation) {
         return parts.streamTokens()
                 .write(new StreamTokens.Claims(
--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -3,7 +3,6 @@
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
@@ -68,11 +67,15 @@
                 .setPort(target.address().port())
                 .setMethod(method)
                 .setURI(uri);
-        // Failures are reported by the futures of each exchange; a reset request needs no second report.
-        Future<HttpClientRequest> future =
-                client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
+        Future<HttpClientRequest> future;
         try {
-            return future.await(CONNECT_TIMEOUT.toMillis() + 500, TimeUnit.MILLISECONDS);
+            // Failures are reported by the futures of each exchange; a reset request needs no second report.
+            future = client.request(options).onSuccess(request -> request.exceptionHandler(e -> {}));
+        } catch (IllegalStateException e) {
+            throw notConnected(target, e);
+        }
+        try {
+            return TimedAwait.await(future, CONNECT_TIMEOUT.plusMillis(500));
         } catch (TimeoutException e) {
             future.onSuccess(HttpClientRequest::reset);
             throw new TargetFailure(target.id(), TargetFailure.Cause.NOT_CONNECTED, "connect timed out", e);
@@ -100,7 +103,7 @@
         Future<HttpClientResponse> answer =
                 sent.onSuccess(response -> response.exceptionHandler(e -> {}).pause());
         try {
-            return answer.await(Math.max(1, silence.toMillis()), TimeUnit.MILLISECONDS);
+            return TimedAwait.await(answer, silence);
         } catch (TimeoutException e) {
             request.reset();
             throw new TargetFailure(
@@ -131,7 +134,7 @@
         response.endHandler(v -> whole.tryComplete(collected));
         response.resume();
         try {
-            return whole.future().await(Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+            return TimedAwait.await(whole.future(), timeout);
         } catch (TimeoutException e) {
             request.reset();
             throw new TargetFailure(target.id(), TargetFailure.Cause.SILENT, "answer did not end in time", e);
