--- a/core/src/main/java/org/verbenatally/peer/Membership.java
+++ b/core/src/main/java/org/verbenatally/peer/Membership.java
@@ -368,6 +368,12 @@
         return Optional.empty();
     }
 
+    /** Returns whether a run, present or past, has announced another as the successor of its keys. */
+    synchronized boolean isSuccessor(Run owner, Run successor) {
+        Row row = rows.get(owner);
+        return row != null && row.row.successor().equals(Optional.of(successor));
+    }
+
     /** Returns whether what the table says about others may be out of date, after a start or a pause. */
     synchronized boolean isStale() {
         checkPause();
--- a/core/src/main/java/org/verbenatally/peer/PeerNetwork.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerNetwork.java
@@ -36,6 +36,9 @@
     /** Tells peers which instance has taken over this instance's keys. */
     void announceKeySuccessor(InstanceId successor);
 
+    /** Tells whether the given run is known to have announced this run of this instance as its key successor. */
+    boolean isKeySuccessorOf(InstanceId owner, Incarnation run);
+
     /** Marks this instance as leaving and tells the peers at once. */
     void leave();
 
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -370,6 +370,11 @@
         flushSoon();
     }
 
+    @Override
+    public boolean isKeySuccessorOf(InstanceId owner, Incarnation run) {
+        return membership.isSuccessor(new Run(owner, run), new Run(self(), incarnation()));
+    }
+
     @Override
     public void leave() {
         membership.setOwn(MemberState.LEAVING, Optional.empty());
--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -26,6 +26,8 @@
 import org.verbenatally.entry.operator.RequestLog;
 import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
+import org.verbenatally.order.HttpEngineControl;
+import org.verbenatally.order.OrderIssuer;
 import org.verbenatally.peer.PeerOptions;
 import org.verbenatally.peer.Peers;
 import org.verbenatally.peer.PlatformInstance;
@@ -56,6 +58,8 @@
     private Peers peers;
     private CallerServer callers;
     private StatusView status;
+    private HttpEngineControl engines;
+    private OrderIssuer orders;
 
     /**
      * Where the server listens.
@@ -102,6 +106,8 @@
         peers.onConfig(dispatcher::configure);
         peers.onInstances(this::leavingTargets);
         loads.start();
+        engines = new HttpEngineControl(vertx);
+        orders = new OrderIssuer(peers.self(), peers::members, config, engines, timer);
         status = new StatusView(
                 settings.getInstance(), config, peers, targets, callers, dispatcher, metrics, this::notReady);
         OperatorServer operator = new OperatorServer(
@@ -181,6 +187,10 @@
             return;
         }
         dispatcher.close();
+        if (orders != null) {
+            orders.close();
+            engines.close();
+        }
         // A task that still waits must not keep the process from ending.
         stopped.completeOnTimeout(null, 2 * CLOSE_TIMEOUT_SECONDS, TimeUnit.SECONDS);
         CompletableFuture<Void> left = peers == null ? CompletableFuture.completedFuture(null) : peers.close();
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyStore.java
@@ -13,14 +13,13 @@
 import java.util.concurrent.locks.ReentrantReadWriteLock;
 import java.util.function.Function;
 import java.util.function.LongSupplier;
-import java.util.function.Supplier;
 
 import org.jboss.logging.Logger;
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.InstanceId;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
-import org.verbenatally.peer.MemberInfo;
+import org.verbenatally.peer.PeerNetwork;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.KeyEntry;
 import org.verbenatally.wire.KeyTransfer;
@@ -46,7 +45,7 @@
     private final KeyTable own;
     private final KeyIssuer issuer;
     private final TimerService timer;
-    private final Supplier<List<MemberInfo>> members;
+    private final PeerNetwork peers;
     private final Map<RunId, Adopted> adopted = new LinkedHashMap<>();
     private final Map<RunId, List<KeyTransfer>> staged = new HashMap<>();
     private final ReentrantReadWriteLock lock = new ReentrantReadWriteLock();
@@ -79,12 +78,12 @@
     /**
      * Creates the tables of one run of this instance.
      *
-     * @param members returns the members as this instance sees them
+     * @param peers knows the members and what they announce
      */
-    KeyStore(KeyIssuer issuer, TimerService timer, Supplier<List<MemberInfo>> members) {
+    KeyStore(KeyIssuer issuer, TimerService timer, PeerNetwork peers) {
         this.issuer = Objects.requireNonNull(issuer, "issuer");
         this.timer = Objects.requireNonNull(timer, "timer");
-        this.members = Objects.requireNonNull(members, "members");
+        this.peers = Objects.requireNonNull(peers, "peers");
         this.ownId = new RunId(issuer.self(), issuer.run());
         this.own = new KeyTable(issuer.secretBytes(), issuer::uptimeMs);
     }
@@ -119,13 +118,8 @@
 
     private boolean isActive(Adopted table) {
         if (!table.active().get()) {
-            boolean announced = members.get().stream()
-                    .anyMatch(member -> member.instance().equals(table.sender().instance())
-                            && member.incarnation().equals(table.sender().run())
-                            && member.keySuccessor().equals(Optional.of(ownId.instance())));
-            if (announced) {
-                table.active().set(true);
-            }
+            RunId sender = table.sender();
+            table.active().set(peers.isKeySuccessorOf(sender.instance(), sender.run()));
         }
         return table.active().get();
     }
@@ -284,7 +278,7 @@
     }
 
     private RunId sender(InstanceId from) {
-        return members.get().stream()
+        return peers.members().stream()
                 .filter(member -> member.instance().equals(from))
                 .map(member -> new RunId(from, member.incarnation()))
                 .findFirst()
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyedCalls.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyedCalls.java
@@ -59,7 +59,7 @@
         this.runner = Objects.requireNonNull(runner, "runner");
         this.peers = Objects.requireNonNull(peers, "peers");
         this.timer = Objects.requireNonNull(timer, "timer");
-        this.store = new KeyStore(issuer, timer, peers::members);
+        this.store = new KeyStore(issuer, timer, peers);
         timer.every(Duration.ofSeconds(10), tick -> store.trim());
     }
 
--- a/entry/src/test/java/org/verbenatally/entry/key/KeyFleet.java
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyFleet.java
@@ -33,6 +33,9 @@
     final ManualTimer timer = new ManualTimer();
     final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final Map<InstanceId, Node> nodes = new ConcurrentHashMap<>();
+    private final Map<Announcement, InstanceId> announcements = new ConcurrentHashMap<>();
+
+    private record Announcement(InstanceId owner, Incarnation run) {}
 
     /** One entry. */
     final class Node implements PeerNetwork {
@@ -40,7 +43,6 @@
         private final Incarnation run;
         final KeyedCalls calls;
         volatile boolean reachable = true;
-        volatile Optional<InstanceId> announced = Optional.empty();
         volatile CallRunner runner = call -> CompletableFuture.completedFuture(
                 CallResult.done(200, ("{\"run\":" + count(call.key()) + "}").getBytes(), "service"));
 
@@ -66,8 +68,8 @@
 
         void transferTo(Node successor) {
             sendTables(successor);
-            announced = Optional.of(successor.id);
-            calls.store().endTransfer(announced);
+            announcements.put(new Announcement(id, run), successor.id);
+            calls.store().endTransfer(Optional.of(successor.id));
         }
 
         /** Transfers the tables as far as the successor, whose confirmation is lost. */
@@ -104,7 +106,7 @@
                             new FailureDomain("Bole"),
                             MemberInfo.Status.LIVE,
                             ConfigVersion.NONE,
-                            node.announced)));
+                            Optional.empty())));
             return members;
         }
 
@@ -127,6 +129,11 @@
         @Override
         public void announceKeySuccessor(InstanceId successor) {}
 
+        @Override
+        public boolean isKeySuccessorOf(InstanceId owner, Incarnation ownerRun) {
+            return id.equals(announcements.get(new Announcement(owner, ownerRun)));
+        }
+
         @Override
         public void leave() {}
 
--- a/entry/src/test/java/org/verbenatally/entry/key/KeyedCallsTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/key/KeyedCallsTest.java
@@ -180,6 +180,19 @@
                 .isEqualTo(1);
     }
 
+    /** Guards against keys that nobody answers for after a rolling replacement under the same ids. */
+    @Test
+    void tablesOutliveTheRestartOfTheirSenders() {
+        String key = a.issue();
+        a.transferTo(b);
+        KeyFleet.Node restarted = fleet.start("a", 15);
+
+        b.transferTo(restarted);
+
+        assertThat(restarted.outcome(key)).isEqualTo(Outcome.DONE);
+        assertThat(fleet.runsOf(key)).isEqualTo(1);
+    }
+
     /** Guards against a transferred key becoming young again, which would let it run after its rows were dropped. */
     @Test
     void transferKeepsTheAgeOfKeys() {
