Keep failed connections of callers out of the error log

Cause: Vert.x logs a reset connection without a handler as an error, without this project's prefix. Change: handlers on the connections and responses of callers.

--- a/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
@@ -40,6 +40,8 @@
     Exchange(HttpServerRequest request, long startNanos) {
         this.request = Objects.requireNonNull(request, "request");
         this.startNanos = startNanos;
+        // A caller that leaves is no error; parts that must know of it set handlers of their own.
+        request.response().exceptionHandler(e -> {});
         String offered = request.getHeader("Request-Id");
         this.idValid = offered == null || REQUEST_ID.matcher(offered).matches();
         this.id = offered != null && idValid ? offered : UUID.randomUUID().toString();
--- a/entry/src/main/java/org/verbenatally/entry/caller/IdleConnections.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/IdleConnections.java
@@ -5,12 +5,14 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import io.vertx.core.http.HttpConnection;
+import org.jboss.logging.Logger;
 
 /**
  * Closes callers' connections that carry no request for a while, so that slow or silent clients cannot hold them. The
  * idle timeout of the HTTP server cannot do this: it would also close connections whose request takes long.
  */
 final class IdleConnections {
+    private static final Logger LOG = Logger.getLogger(IdleConnections.class);
     private static final Duration IDLE = Duration.ofSeconds(75);
 
     private final Map<HttpConnection, State> states = new ConcurrentHashMap<>();
@@ -22,6 +24,7 @@
 
     void opened(HttpConnection connection) {
         states.put(connection, new State());
+        connection.exceptionHandler(e -> LOG.debugf("caller: connection failed: %s", e.getMessage()));
         connection.closeHandler(v -> states.remove(connection));
     }
 
