Start an entry again if another process took its port

Change: Up to three starts, only if the log says that the address is in use. Conclusion: other failures to start still count as broken.

--- a/tools/src/main/java/org/verbenatally/faults/EntryNode.java
+++ b/tools/src/main/java/org/verbenatally/faults/EntryNode.java
@@ -13,6 +13,8 @@
 final class EntryNode {
     private static final String MAIN = "org.verbenatally.entry.EntryMain";
 
+    private static final int START_TRIES = 3;
+
     private final String name;
     private final Path folder;
     private final ObjectNode settings;
@@ -43,9 +45,9 @@
         process = ChildProcess.start(name, folder, MAIN, List.of("--settings", file.toString()));
     }
 
-    /** Waits until the process has printed where it listens. */
+    /** Waits until the process has printed where it listens; starts it again if another process took a port. */
     void awaitAddresses() {
-        String line = process.awaitLine("listening").getLast();
+        String line = awaitListening();
         for (String part : line.split(" ")) {
             int equals = part.indexOf('=');
             String value = part.substring(equals + 1);
@@ -62,6 +64,31 @@
         }
     }
 
+    private String awaitListening() {
+        for (int i = 1; ; i++) {
+            try {
+                return process.awaitLine("listening").getLast();
+            } catch (IllegalStateException e) {
+                if (i == START_TRIES || !portWasTaken()) {
+                    throw e;
+                }
+                if (callers == null) {
+                    ((ObjectNode) settings.path("callers")).put("port", Ports.pick());
+                    ((ObjectNode) settings.path("operator")).put("port", Ports.pick());
+                }
+                start();
+            }
+        }
+    }
+
+    private boolean portWasTaken() {
+        try {
+            return Files.readString(folder.resolve(name + ".log")).contains("Address already in use");
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     String name() {
         return name;
     }
