--- a/core/src/main/java/org/verbenatally/policy/HeadroomRouting.java
+++ b/core/src/main/java/org/verbenatally/policy/HeadroomRouting.java
@@ -27,7 +27,7 @@
     /** Weight of memory beyond that against the share of the batch in use. */
     private static final double PRESSURE = 4;
 
-    static final HeadroomRouting DEFAULT = new HeadroomRouting(0.02, 0.02, 0.1);
+    static final HeadroomRouting DEFAULT = new HeadroomRouting(0.02, 0.06, 0.1);
 
     @Override
     public Optional<TargetId> choose(RoutingInput input) {
--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -20,6 +20,11 @@
 final class TargetState {
     /** Age from which a report is no longer used; the target is then judged by what this entry and peers sent. */
     private static final long STALE_NANOS = TimeUnit.SECONDS.toNanos(10);
+    /**
+     * Share of the reported requests from which own and peers' requests are taken alone. Gossip then covers nearly all
+     * entries and is fresher than a report.
+     */
+    private static final double WELL_KNOWN = 0.75;
     /** Time for which a forecast is reused. Growth within it is a few tokens a request. */
     private static final long FORECAST_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Time after which peers have heard of a request sent here: one gossip period. */
