Send work in fault cases until the engine to kill has some

The case then failed without a fault. Change: Trial.sendUntilStarted goes on sending, one piece every 200 ms, within the same bound; the check is unchanged.

--- a/tools/src/main/java/org/verbenatally/faults/StreamCases.java
+++ b/tools/src/main/java/org/verbenatally/faults/StreamCases.java
@@ -43,10 +43,7 @@
 
     /** Sends guides to all entries until one runs on the engine that the case kills. */
     private static List<CompletableFuture<Answer>> fill(Trial trial, int tokens) {
-        List<CompletableFuture<Answer>> answers = new ArrayList<>();
-        IntStream.range(0, 24).forEach(i -> answers.add(trial.send(trial.guide(tokens), i % 3)));
-        trial.await("a guide runs on " + ENGINE, () -> !trial.startedOn(ENGINE).isEmpty());
-        return answers;
+        return trial.sendUntilStarted(ENGINE, () -> trial.guide(tokens));
     }
 
     private static void beforeFirstToken(Trial trial) {
@@ -110,10 +107,7 @@
     }
 
     private static void summaries(Trial trial) {
-        List<CompletableFuture<Answer>> answers = new ArrayList<>();
-        IntStream.range(0, 24).forEach(i -> answers.add(trial.send(trial.summary(200), i % 3)));
-        trial.await(
-                "a summary runs on draft-1", () -> !trial.startedOn("draft-1").isEmpty());
+        var answers = trial.sendUntilStarted("draft-1", () -> trial.summary(200));
         Cluster.sleep(500);
         trial.figure("hit", trial.startedOn("draft-1").size());
         trial.cluster().killTarget("draft-1");
--- a/tools/src/main/java/org/verbenatally/faults/Trial.java
+++ b/tools/src/main/java/org/verbenatally/faults/Trial.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -28,6 +29,8 @@
     /** Longest wait for a condition; generous, because the machine may be busy. */
     static final Duration LIMIT = Duration.ofSeconds(45);
 
+    private static final int FIRST_PIECES = 24;
+    private static final long MORE_NANOS = 200_000_000;
     private static final int PATIENCE_MS = 30_000;
     private static final Executor CALLERS = task -> Thread.ofVirtual().start(task);
 
@@ -208,6 +211,29 @@
                         >= expected);
     }
 
+    /**
+     * Sends work to all entries in turn, 24 pieces at first and one more every 200 ms until the target has started one:
+     * which target gets work is the entries' choice.
+     */
+    List<CompletableFuture<Answer>> sendUntilStarted(String target, Supplier<Work> work) {
+        List<CompletableFuture<Answer>> answers = new ArrayList<>();
+        for (int i = 0; i < FIRST_PIECES; i++) {
+            answers.add(send(work.get(), i % 3));
+        }
+        long[] next = {System.nanoTime() + MORE_NANOS};
+        await("work on " + target, () -> {
+            if (!startedOn(target).isEmpty()) {
+                return true;
+            }
+            if (System.nanoTime() - next[0] > 0) {
+                next[0] = System.nanoTime() + MORE_NANOS;
+                answers.add(send(work.get(), answers.size() % 3));
+            }
+            return false;
+        });
+        return answers;
+    }
+
     /** Returns the ids of the work that a target has started. */
     Set<String> startedOn(String target) {
         return events(target, "start").stream()
