Apply no configuration at the start before the peers were asked

Cause: a starting instance put the platform's document in force as soon as it had read it. With an old copy at the platform it applied that until a peer's answer arrived, so a restarted instance went back from version 2 to 1 for some 40 ms, and requests to it would have run under the old version. Ruled out: the holder (it never goes down) and the peers (they held version 2 throughout). Change: documents are collected while the start rule runs; the highest is put in force at its end.

--- a/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
+++ b/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
@@ -29,7 +29,11 @@
 import org.verbenatally.wire.DeltaPart;
 import org.verbenatally.wire.PeerFrame;
 
-/** Puts the highest valid document that the platform or a peer offers in force, and never a lower one. */
+/**
+ * Puts the highest valid document that the platform or a peer offers in force, and never a lower one. Until the
+ * platform and the known peers were asked, documents are only collected: the platform may serve an old copy to an
+ * instance whose earlier run had a higher version in force.
+ */
 final class ConfigSpreader {
     private static final Logger LOG = Logger.getLogger(ConfigSpreader.class);
 
@@ -42,7 +46,10 @@
     private final String deployment;
     private final PeerTimings timings;
     private final TimerService timers;
-    private final ConfigHolder holder;
+    private final ConfigHolder inForce;
+    /** The highest document seen, which is in force once the instance has asked its peers. */
+    private final ConfigHolder seen = new ConfigHolder();
+
     private final Consumer<ConfigDocumentInForce> onAccepted;
     private final List<Consumer<Deployment>> listeners = new CopyOnWriteArrayList<>();
     private final Set<String> rejected = Collections.newSetFromMap(new Lru());
@@ -52,6 +59,7 @@
     private final AtomicLong deltas = new AtomicLong();
     private volatile String lastFault = "none was offered";
     private String lastConflict = "";
+    private volatile boolean started;
     private volatile Fetch fetch;
     private volatile Base previous;
 
@@ -74,18 +82,23 @@
         this.deployment = options.deployment();
         this.timings = options.timings();
         this.timers = timers;
-        this.holder = holder;
+        this.inForce = holder;
         this.onAccepted = onAccepted;
     }
 
     void listen(Consumer<Deployment> listener) {
         listeners.add(listener);
-        holder.deployment().ifPresent(listener);
+        inForce.deployment().ifPresent(listener);
+    }
+
+    private Optional<ConfigDocumentInForce> highest() {
+        inForce.document().ifPresent(seen::offer);
+        return seen.document();
     }
 
-    /** Returns the version in force, 0 if there is none. */
+    /** Returns the highest valid version seen, 0 if there is none. */
     long version() {
-        return holder.deployment().map(d -> d.version().value()).orElse(0L);
+        return highest().map(d -> d.deployment().version().value()).orElse(0L);
     }
 
     String lastFault() {
@@ -126,12 +139,12 @@
         }
         fetches.incrementAndGet();
         var request = new ConfigRequest(version());
-        holder.document().ifPresent(d -> request.setBaseDigest(d.digest()));
+        highest().ifPresent(d -> request.setBaseDigest(d.digest()));
         link.send(PeerFrame.configRequest(request));
     }
 
     private boolean isHigher(long version, byte[] digest) {
-        Optional<ConfigDocumentInForce> own = holder.document();
+        Optional<ConfigDocumentInForce> own = highest();
         if (own.isEmpty() || version > own.get().deployment().version().value()) {
             return true;
         }
@@ -159,7 +172,7 @@
 
     /** Answers a peer that asks for the document in force, with a delta if the peer's document is known here. */
     void onRequest(Link link, ConfigRequest request) {
-        holder.document()
+        highest()
                 .filter(d -> d.deployment().version().value() >= request.getNewerThan())
                 .ifPresent(d -> link.send(answer(d, request)));
     }
@@ -180,8 +193,7 @@
 
     /** Takes the difference to the own document; asks for the whole one if that has changed in the meantime. */
     void onDelta(Link link, ConfigDelta delta) throws BadFrameException {
-        Optional<ConfigDocumentInForce> base =
-                holder.document().filter(d -> Arrays.equals(d.digest(), delta.getBaseDigest()));
+        Optional<ConfigDocumentInForce> base = highest().filter(d -> Arrays.equals(d.digest(), delta.getBaseDigest()));
         if (base.isEmpty()) {
             link.send(PeerFrame.configRequest(new ConfigRequest(version())));
             return;
@@ -214,7 +226,7 @@
     /** Checks a document and puts it in force if it is higher; returns whether it is valid. */
     boolean offer(String source, byte[] body) {
         byte[] digest = ConfigReader.digest(body);
-        if (holder.document().filter(d -> Arrays.equals(d.digest(), digest)).isPresent()) {
+        if (highest().filter(d -> Arrays.equals(d.digest(), digest)).isPresent()) {
             return true;
         }
         String hex = HexFormat.of().formatHex(digest);
@@ -231,14 +243,14 @@
             }
             // Notes a conflict if there is one; the holder decides again under its own lock.
             isHigher(document.deployment().version().value(), digest);
-            ConfigDocumentInForce before = holder.document().orElse(null);
-            if (holder.offer(document)) {
+            ConfigDocumentInForce before = highest().orElse(null);
+            if (seen.offer(document)) {
                 previous = before == null ? null : new Base(before.digest(), before.body());
                 LOG.infof(
-                        "config: version %s from %s is in force",
-                        document.deployment().version(), source);
-                onAccepted.accept(document);
-                listeners.forEach(l -> l.accept(document.deployment()));
+                        "config: read version %s from %s", document.deployment().version(), source);
+                if (started) {
+                    putInForce(document);
+                }
             }
             return true;
         } catch (ConfigException e) {
@@ -252,6 +264,20 @@
         }
     }
 
+    /** Ends the collection at the start and puts the highest document in force. */
+    void start() {
+        started = true;
+        highest().ifPresent(this::putInForce);
+    }
+
+    private void putInForce(ConfigDocumentInForce document) {
+        if (inForce.offer(document)) {
+            LOG.infof("config: version %s is in force", document.deployment().version());
+            onAccepted.accept(document);
+            listeners.forEach(l -> l.accept(document.deployment()));
+        }
+    }
+
     /** Reads from the platform once; returns whether the read succeeded. */
     boolean read(PlatformClient platform, Duration wait) throws InterruptedException {
         try {
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -187,6 +187,7 @@
         while (spreader.isFetching() && timers.nanos() - until < 0) {
             uninterrupted(() -> TimeUnit.MILLISECONDS.sleep(FLUSH_DELAY.toMillis()));
         }
+        spreader.start();
         asked = true;
         platform.ifPresent(PlatformReader::start);
     }
--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -134,6 +134,22 @@
         assertThat(two.version()).isEqualTo(5);
     }
 
+    /** Guards against a restarted instance that applies an old copy of the platform before its peers have answered. */
+    @Test
+    void startingInstanceNeverAppliesALowerVersionThanItsPeersHave() throws Exception {
+        Address fresh = platform();
+        served.put(fresh, Fleet.document(7, "high"));
+        fleet.start("e1", Optional.of(fresh), fleet.timers);
+        Fleet.await(() -> fleet.node("e1").version() == 7);
+        Address stale = platform();
+        served.put(stale, Fleet.document(3, "low"));
+        for (int i = 2; i <= 5; i++) {
+            Fleet.Node node = fleet.start("e" + i, Optional.of(stale), fleet.timers);
+            Fleet.await(() -> node.peers.notReadyReason().isEmpty());
+            assertThat(node.versions).as("versions applied by e" + i).containsExactly(7L);
+        }
+    }
+
     /** Guards against sides of a partition that stop, that revert, or that do not come together again. */
     @Test
     void partitionedSidesContinueAndMergeToTheHigherVersion() throws Exception {
