Ask the operator endpoints with the Vert.x client

Cause: ctl was the only part of the system that used another HTTP client. Change: Entries uses Vert.x.

--- a/ctl/src/main/java/org/verbenatally/ctl/Entries.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/Entries.java
@@ -1,17 +1,22 @@
 package org.verbenatally.ctl;
 
 import java.io.IOException;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpMethod;
 import org.verbenatally.core.Address;
 
 /**
@@ -21,7 +26,7 @@
  * @param silent one line for each entry that gave none
  */
 record Entries(List<JsonNode> answers, List<String> silent) {
-    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+    private static final int TIMEOUT_MS = 3_000;
     private static final int HTTP_OK = 200;
     private static final int NOT_FOUND = 404;
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -31,13 +36,20 @@
         if (addresses.isEmpty()) {
             throw new UsageException("needs the operator address of at least one entry");
         }
+        List<Address> parsed = parse(addresses);
         Entries entries = new Entries(new ArrayList<>(), new ArrayList<>());
-        for (Address address : parse(addresses)) {
-            try {
-                fetch(address, path).ifPresent(entries.answers::add);
-            } catch (IOException e) {
-                entries.silent.add(address + ": " + (e.getMessage() == null ? "cannot connect" : e.getMessage()));
+        Vertx vertx = Vertx.vertx();
+        try {
+            HttpClient client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(TIMEOUT_MS));
+            for (Address address : parsed) {
+                try {
+                    fetch(client, address, path).ifPresent(entries.answers::add);
+                } catch (IOException e) {
+                    entries.silent.add(address + ": " + e.getMessage());
+                }
             }
+        } finally {
+            vertx.close();
         }
         return entries;
     }
@@ -50,19 +62,24 @@
         }
     }
 
-    private static Optional<JsonNode> fetch(Address address, String path) throws IOException {
-        HttpRequest request = HttpRequest.newBuilder(URI.create("http://" + address + path))
-                .timeout(TIMEOUT)
-                .build();
-        try (HttpClient client = HttpClient.newBuilder().connectTimeout(TIMEOUT).build()) {
-            HttpResponse<byte[]> response = client.send(request, HttpResponse.BodyHandlers.ofByteArray());
-            if (response.statusCode() == NOT_FOUND) {
-                return Optional.empty();
-            }
-            if (response.statusCode() != HTTP_OK) {
-                throw new IOException("status " + response.statusCode());
-            }
-            return Optional.of(MAPPER.readTree(response.body()));
+    private static Optional<JsonNode> fetch(HttpClient client, Address address, String path) throws IOException {
+        Future<Optional<Buffer>> answer = client.request(HttpMethod.GET, address.port(), address.host(), path)
+                .compose(HttpClientRequest::send)
+                .compose(response -> switch (response.statusCode()) {
+                    case HTTP_OK -> response.body().map(Optional::of);
+                    case NOT_FOUND -> Future.succeededFuture(Optional.empty());
+                    default -> Future.failedFuture("status " + response.statusCode());
+                });
+        try {
+            Optional<Buffer> body =
+                    answer.toCompletionStage().toCompletableFuture().get(TIMEOUT_MS, TimeUnit.MILLISECONDS);
+            return body.isEmpty()
+                    ? Optional.empty()
+                    : Optional.of(MAPPER.readTree(body.get().getBytes()));
+        } catch (ExecutionException e) {
+            throw new IOException(e.getCause().getMessage(), e);
+        } catch (TimeoutException e) {
+            throw new IOException("no answer within " + TIMEOUT_MS + " ms", e);
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
             throw new IOException("interrupted", e);
