Keep new work away from targets that cannot be reached

Cause: a dead engine has no load, so routing preferred it until its last report was 10 s old. With three of eight engines dead, a request could use up its three attempts on them and end as not-run. Ruled out: the quarantine (the refused guides had other fingerprints) and the retry budget (all three attempts were made).

--- a/core/src/main/java/org/verbenatally/policy/Dispatcher.java
+++ b/core/src/main/java/org/verbenatally/policy/Dispatcher.java
@@ -260,6 +260,8 @@
             }
         } else if (end == FlightEnd.REFUSED) {
             state.refused(timer.nanos());
+        } else if (end == FlightEnd.UNREACHABLE || end == FlightEnd.CRASHED) {
+            state.unreachable(timer.nanos());
         }
         lock.lock();
         try {
--- a/core/src/main/java/org/verbenatally/policy/FlightEnd.java
+++ b/core/src/main/java/org/verbenatally/policy/FlightEnd.java
@@ -8,6 +8,8 @@
     REFUSED,
     /** The attempt failed or timed out; the target is believed to be alive. */
     FAILED,
+    /** No connection to the target could be made, so it has not run the work. */
+    UNREACHABLE,
     /** The target died while the attempt ran: reset connection and a new incarnation or refused connections. */
     CRASHED,
     /** The caller or this entry ended the attempt. */
--- a/core/src/main/java/org/verbenatally/policy/TargetState.java
+++ b/core/src/main/java/org/verbenatally/policy/TargetState.java
@@ -33,6 +33,11 @@
     /** Time for which a target that refused work gets none: long enough for a place to become free. */
     private static final long REFUSED_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** First and longest time for which a target that cannot be reached gets no work. */
+    private static final long FIRST_AWAY_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private static final long LONGEST_AWAY_NANOS = TimeUnit.SECONDS.toNanos(5);
+
     private final Set<RunningFlight> flights = new LinkedHashSet<>();
     private final LoadTrace trace = new LoadTrace();
     private KvForecast forecast = new KvForecast();
@@ -45,8 +50,9 @@
     /** The platform's list or a peer says that it is leaving. */
     private volatile boolean leavingElsewhere;
 
-    private volatile long refusedNanos;
-    private volatile boolean refusedOnce;
+    private volatile long avoidUntilNanos;
+    private volatile boolean avoided;
+    private int unreachable;
     private Optional<Incarnation> leavingRun = Optional.empty();
     private int ownRequests;
     private long ownTokens;
@@ -134,6 +140,10 @@
             return;
         }
         received = new Received(load, madeNanos, trace.at(madeNanos), sentAt(madeNanos));
+        if (unreachable > 0) {
+            unreachable = 0;
+            avoided = false;
+        }
         forecastValid = false;
         if (sameRun) {
             limit.preemptions(load.preemptions() - last.load().preemptions());
@@ -306,13 +316,26 @@
 
     /** Keeps new work away for a moment after the target refused some. */
     void refused(long now) {
-        refusedNanos = now;
-        refusedOnce = true;
+        avoid(now + REFUSED_NANOS);
+    }
+
+    /**
+     * Keeps new work away from a target that cannot be reached, longer each time until it reports again. Otherwise its
+     * lack of load would attract all requests.
+     */
+    synchronized void unreachable(long now) {
+        unreachable++;
+        avoid(now + Math.min(LONGEST_AWAY_NANOS, FIRST_AWAY_NANOS << Math.min(10, unreachable - 1)));
+    }
+
+    private void avoid(long untilNanos) {
+        avoidUntilNanos = untilNanos;
+        avoided = true;
     }
 
-    /** Tells whether the target refused work a moment ago. */
+    /** Tells whether the target refused work a moment ago or cannot be reached. */
     boolean refusing(long now) {
-        return refusedOnce && now - refusedNanos < REFUSED_NANOS;
+        return avoided && now - avoidUntilNanos < 0;
     }
 
     /** Returns the flights of this entry. */
--- a/core/src/test/java/org/verbenatally/policy/TargetTableLeavingTest.java
+++ b/core/src/test/java/org/verbenatally/policy/TargetTableTest.java
@@ -24,7 +24,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-class TargetTableLeavingTest {
+class TargetTableTest {
     private static final TargetId TARGET = new TargetId("service-1");
     private static final InstanceId PEER = new InstanceId("entry-2");
     private static final Kind KIND = new Kind(
@@ -107,6 +107,18 @@
         assertThat(table.anyMayRun(KIND)).isTrue();
     }
 
+    /** Guards against a dead target that attracts all requests because it has no load. */
+    @Test
+    void unreachableTargetGetsNoWorkUntilItReports() {
+        report(1, false);
+        TargetState state = table.state(TARGET);
+        state.unreachable(timer.nanos());
+        assertThat(state.refusing(timer.nanos())).isTrue();
+
+        report(2, false);
+        assertThat(state.refusing(timer.nanos())).isFalse();
+    }
+
     private void report(long run, boolean leaving) {
         table.report(
                 TARGET,
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineStarter.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineStarter.java
@@ -55,7 +55,8 @@
     }
 
     private static Failed failed(TargetFailure e) {
-        FlightEnd end = e.reason().refused() ? FlightEnd.REFUSED : FlightEnd.FAILED;
+        FlightEnd away = e.reason().unreachable() ? FlightEnd.UNREACHABLE : FlightEnd.FAILED;
+        FlightEnd end = e.reason().refused() ? FlightEnd.REFUSED : away;
         return new Failed(e, end, !e.reason().notRun());
     }
 
--- a/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
@@ -121,7 +121,7 @@
             if (attempt.sent() || attempt.target().isEmpty() || !maySend.getAsBoolean()) {
                 return attempt.result();
             }
-            boolean connectFailed = attempt.end() == FlightEnd.FAILED;
+            boolean connectFailed = attempt.end() == FlightEnd.FAILED || attempt.end() == FlightEnd.UNREACHABLE;
             Optional<Duration> delay = connectFailed ? decide(work, attempt, attempts) : Optional.empty();
             if (delay.isEmpty()) {
                 return attempt.result();
@@ -224,9 +224,10 @@
         boolean mayHaveRun = sent && !refused;
         Outcome outcome = mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
         Step step = sent ? Step.SEND : Step.CONNECT;
+        FlightEnd away = e.reason().unreachable() ? FlightEnd.UNREACHABLE : FlightEnd.FAILED;
         return new Attempt(
                 failed(outcome, step, id.value(), e.getMessage()),
-                refused ? FlightEnd.REFUSED : crashed ? FlightEnd.CRASHED : FlightEnd.FAILED,
+                refused ? FlightEnd.REFUSED : crashed ? FlightEnd.CRASHED : away,
                 Optional.of(id),
                 mayHaveRun);
     }
--- a/entry/src/main/java/org/verbenatally/entry/target/TargetFailure.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TargetFailure.java
@@ -34,11 +34,12 @@
 
         /** Tells whether the target has not run the request. */
         public boolean notRun() {
-            return this == NOT_CONNECTED
-                    || this == CONNECTION_REFUSED
-                    || this == LEAVING
-                    || this == FULL
-                    || this == MODEL_NOT_LOADED;
+            return unreachable() || refused();
+        }
+
+        /** Tells whether no connection to the target could be made. */
+        public boolean unreachable() {
+            return this == NOT_CONNECTED || this == CONNECTION_REFUSED;
         }
 
         /** Tells whether the target itself refused the request. */
--- a/tools/src/main/java/org/verbenatally/load/BenchMain.java
+++ b/tools/src/main/java/org/verbenatally/load/BenchMain.java
@@ -15,12 +15,12 @@
  */
 public final class BenchMain {
     private static final String USAGE =
-            "usage: bench decisions|policies|trial [--quick] [--seed n] [--deployment name] [--entries n]"
+            "usage: bench [policies|decisions|trial] [--quick] [--seed n] [--deployment name] [--entries n]"
                     + " [--loads 0.9,...] [--lags 500,...] [--seconds n] [--policies name,...]";
 
     private BenchMain() {}
 
-    /** Runs the benchmark that the first argument names. */
+    /** Runs the benchmark that the first argument names; by default it compares the policies. */
     public static void main(String[] args) {
         CommandLine line;
         try {
@@ -30,7 +30,12 @@
             System.exit(2);
             return;
         }
-        String command = line.getArgList().isEmpty() ? "" : line.getArgList().getFirst();
+        if (line.hasOption("help")) {
+            System.out.println(USAGE);
+            return;
+        }
+        String command =
+                line.getArgList().isEmpty() ? "policies" : line.getArgList().getFirst();
         switch (command) {
             case "decisions" -> new DecisionBench(line.hasOption("quick")).run();
             case "policies" -> new PolicyBench(plan(line, 80)).run();
@@ -45,6 +50,7 @@
     private static Options options() {
         Options options =
                 new Options().addOption(Option.builder().longOpt("quick").get());
+        options.addOption(Option.builder().longOpt("help").get());
         for (String name : List.of("seed", "deployment", "entries", "loads", "lags", "seconds", "policies")) {
             options.addOption(Option.builder().longOpt(name).hasArg().get());
         }
