--- a/core/src/main/java/org/verbenatally/peer/PlatformClient.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformClient.java
@@ -15,6 +15,7 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -62,7 +63,14 @@
                 .setURI(uri)
                 .setTimeout(timeout.toMillis());
         var result = new CompletableFuture<Optional<byte[]>>();
-        http.request(options)
+        Future<HttpClientRequest> requested;
+        try {
+            requested = http.request(options);
+        } catch (IllegalStateException e) {
+            // The client is closed while a reading task is about to read.
+            return CompletableFuture.failedFuture(failure(e.getMessage(), e));
+        }
+        requested
                 .compose(request -> request.send().compose(this::body))
                 .onSuccess(result::complete)
                 .onFailure(e -> result.completeExceptionally(
