Sign stream tokens and idempotency keys with one piece of code

Cause: both computed the same truncated HMAC, and three commands defined the same option and asked entries alike. Change: Signature signs and checks for both; Entries.options holds the shared option. No behaviour changes.

--- a/ctl/src/main/java/org/verbenatally/ctl/BurnCommand.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/BurnCommand.java
@@ -29,11 +29,7 @@
 
     @Override
     public Options options() {
-        return new Options()
-                .addOption(Option.builder()
-                        .longOpt("json")
-                        .desc("print the reports of the entries as one JSON array")
-                        .get())
+        return Entries.options("print the reports of the entries as one JSON array")
                 .addOption(Option.builder()
                         .longOpt("html")
                         .hasArg()
--- a/ctl/src/main/java/org/verbenatally/ctl/Entries.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/Entries.java
@@ -17,6 +17,8 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpMethod;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
 import org.verbenatally.core.Address;
 
 /**
@@ -31,6 +33,13 @@
     private static final int NOT_FOUND = 404;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    /** Returns the options that all commands share which ask entries. */
+    static Options options(String jsonDescription) {
+        return new Options()
+                .addOption(
+                        Option.builder().longOpt("json").desc(jsonDescription).get());
+    }
+
     /** Asks each address for a path; an entry that answers with 404 is left out of both lists. */
     static Entries ask(List<String> addresses, String path) throws UsageException {
         if (addresses.isEmpty()) {
--- a/ctl/src/main/java/org/verbenatally/ctl/ExplainCommand.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/ExplainCommand.java
@@ -7,7 +7,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 
 /** Shows what happened to a recent request at the entries that saw it. */
@@ -32,11 +31,7 @@
 
     @Override
     public Options options() {
-        return new Options()
-                .addOption(Option.builder()
-                        .longOpt("json")
-                        .desc("print one JSON array")
-                        .get());
+        return Entries.options("print one JSON array");
     }
 
     @Override
--- a/ctl/src/main/java/org/verbenatally/ctl/StatusCommand.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/StatusCommand.java
@@ -8,7 +8,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.apache.commons.cli.CommandLine;
-import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 
 /** Shows the state of the entry instances and where they disagree. */
@@ -31,11 +30,7 @@
 
     @Override
     public Options options() {
-        return new Options()
-                .addOption(Option.builder()
-                        .longOpt("json")
-                        .desc("print one JSON array")
-                        .get());
+        return Entries.options("print one JSON array");
     }
 
     @Override
--- a/entry/src/main/java/org/verbenatally/entry/caller/StreamTokens.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/StreamTokens.java
@@ -1,14 +1,10 @@
 package org.verbenatally.entry.caller;
 
-import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
-import java.util.Arrays;
 import java.util.Base64;
 import java.util.HexFormat;
 import java.util.List;
@@ -18,17 +14,15 @@
 import org.verbenatally.core.KindName;
 import org.verbenatally.core.OrganisationId;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.entry.key.Signature;
 
 /**
  * Writes and checks stream tokens. A token names the engine, the generation, the organisation and the kind, so that any
  * entry can resume a stream without stored state. The newest secret signs; all secrets verify, for key rollover.
  */
 public final class StreamTokens {
-    private static final String ALGORITHM = "HmacSHA256";
     private static final byte FORM = 1;
     private static final int GENERATION_BYTES = 16;
-    /** The token stands in each event, so the MAC is cut to 128 bits, which RFC 2104 permits. */
-    private static final int MAC_BYTES = 16;
 
     private static final int MAX_TOKEN_CHARS = 1_024;
 
@@ -50,7 +44,7 @@
             throw new IllegalArgumentException("streamKeys must not be empty");
         }
         this.secrets = secrets.stream()
-                .map(s -> new SecretKeySpec(s.getBytes(StandardCharsets.UTF_8), ALGORITHM))
+                .map(s -> Signature.secret(s.getBytes(StandardCharsets.UTF_8)))
                 .toList();
     }
 
@@ -60,12 +54,12 @@
         byte[] organisation = claims.organisation().value().getBytes(StandardCharsets.US_ASCII);
         byte[] kind = claims.kind().value().getBytes(StandardCharsets.US_ASCII);
         int length = 1 + GENERATION_BYTES + 3 + target.length + organisation.length + kind.length;
-        ByteBuffer bytes = ByteBuffer.allocate(length + MAC_BYTES);
+        ByteBuffer bytes = ByteBuffer.allocate(length + Signature.BYTES);
         bytes.put(FORM).put(HexFormat.of().parseHex(claims.generation().value()));
         put(bytes, target);
         put(bytes, organisation);
         put(bytes, kind);
-        bytes.put(mac(secrets.getFirst(), bytes.array(), length));
+        bytes.put(Signature.sign(secrets.getFirst(), bytes.array(), length));
         return Base64.getUrlEncoder().withoutPadding().encodeToString(bytes.array());
     }
 
@@ -80,8 +74,8 @@
         }
         try {
             byte[] bytes = Base64.getUrlDecoder().decode(token);
-            int length = bytes.length - MAC_BYTES;
-            if (length < 1 || bytes[0] != FORM || !isSigned(bytes, length)) {
+            int length = bytes.length - Signature.BYTES;
+            if (length < 1 || bytes[0] != FORM || !isSigned(bytes)) {
                 return Optional.empty();
             }
             ByteBuffer in = ByteBuffer.wrap(bytes, 1, length - 1);
@@ -104,23 +98,11 @@
         return new String(part, StandardCharsets.US_ASCII);
     }
 
-    private boolean isSigned(byte[] bytes, int length) {
-        byte[] offered = Arrays.copyOfRange(bytes, length, bytes.length);
+    private boolean isSigned(byte[] bytes) {
         boolean signed = false;
         for (SecretKeySpec secret : secrets) {
-            signed |= MessageDigest.isEqual(mac(secret, bytes, length), offered);
+            signed |= Signature.isSigned(secret, bytes);
         }
         return signed;
     }
-
-    private static byte[] mac(SecretKeySpec secret, byte[] bytes, int length) {
-        try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(secret);
-            mac.update(bytes, 0, length);
-            return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("the platform must provide " + ALGORITHM, e);
-        }
-    }
 }
--- a/entry/src/main/java/org/verbenatally/entry/key/IdempotencyKey.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/IdempotencyKey.java
@@ -1,14 +1,10 @@
 package org.verbenatally.entry.key;
 
-import javax.crypto.Mac;
 import javax.crypto.spec.SecretKeySpec;
 
 import java.nio.BufferUnderflowException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.security.GeneralSecurityException;
-import java.security.MessageDigest;
-import java.util.Arrays;
 import java.util.Base64;
 import java.util.Objects;
 import java.util.Optional;
@@ -31,9 +27,7 @@
  */
 record IdempotencyKey(
         InstanceId owner, Incarnation run, long serial, long stampMs, long organisationHash, KindName kind) {
-    private static final String ALGORITHM = "HmacSHA256";
     private static final byte FORM = 1;
-    private static final int MAC_BYTES = 16;
     private static final int MAX_CHARS = 1_024;
 
     IdempotencyKey {
@@ -51,11 +45,11 @@
         byte[] ownerBytes = owner.value().getBytes(StandardCharsets.US_ASCII);
         byte[] kindBytes = kind.value().getBytes(StandardCharsets.US_ASCII);
         int length = 1 + 4 * Long.BYTES + 2 + ownerBytes.length + kindBytes.length;
-        ByteBuffer out = ByteBuffer.allocate(length + MAC_BYTES);
+        ByteBuffer out = ByteBuffer.allocate(length + Signature.BYTES);
         out.put(FORM).putLong(run.value()).putLong(serial).putLong(stampMs).putLong(organisationHash);
         out.put((byte) ownerBytes.length).put(ownerBytes);
         out.put((byte) kindBytes.length).put(kindBytes);
-        out.put(mac(secret, out.array(), length));
+        out.put(Signature.sign(secret, out.array(), length));
         return Base64.getUrlEncoder().withoutPadding().encodeToString(out.array());
     }
 
@@ -66,10 +60,10 @@
         }
         try {
             byte[] bytes = Base64.getUrlDecoder().decode(text);
-            if (bytes.length <= MAC_BYTES || bytes[0] != FORM || !encodes(text, bytes)) {
+            if (bytes.length <= Signature.BYTES || bytes[0] != FORM || !encodes(text, bytes)) {
                 return Optional.empty();
             }
-            ByteBuffer in = ByteBuffer.wrap(bytes, 1, bytes.length - MAC_BYTES - 1);
+            ByteBuffer in = ByteBuffer.wrap(bytes, 1, bytes.length - Signature.BYTES - 1);
             Incarnation run = new Incarnation(in.getLong());
             long serial = in.getLong();
             long stampMs = in.getLong();
@@ -98,22 +92,6 @@
     /** Tells whether the MAC of a key that {@link #read} accepted was made with the secret. */
     static boolean isGenuine(String text, SecretKeySpec secret) {
         byte[] bytes = Base64.getUrlDecoder().decode(text);
-        int length = bytes.length - MAC_BYTES;
-        return MessageDigest.isEqual(mac(secret, bytes, length), Arrays.copyOfRange(bytes, length, bytes.length));
-    }
-
-    static SecretKeySpec secret(byte[] bytes) {
-        return new SecretKeySpec(bytes, ALGORITHM);
-    }
-
-    private static byte[] mac(SecretKeySpec secret, byte[] bytes, int length) {
-        try {
-            Mac mac = Mac.getInstance(ALGORITHM);
-            mac.init(secret);
-            mac.update(bytes, 0, length);
-            return Arrays.copyOf(mac.doFinal(), MAC_BYTES);
-        } catch (GeneralSecurityException e) {
-            throw new IllegalStateException("the platform must provide " + ALGORITHM, e);
-        }
+        return Signature.isSigned(secret, bytes);
     }
 }
--- a/entry/src/main/java/org/verbenatally/entry/key/KeyTable.java
+++ b/entry/src/main/java/org/verbenatally/entry/key/KeyTable.java
@@ -65,7 +65,7 @@
 
     KeyTable(byte[] secret, LongSupplier uptimeMs) {
         this.secretBytes = secret.clone();
-        this.secret = IdempotencyKey.secret(secret);
+        this.secret = Signature.secret(secret);
         this.uptimeMs = Objects.requireNonNull(uptimeMs, "uptimeMs");
     }
 
--- /dev/null
+++ b/entry/src/main/java/org/verbenatally/entry/key/Signature.java
@@ -0,0 +1,44 @@
+package org.verbenatally.entry.key;
+
+import javax.crypto.Mac;
+import javax.crypto.spec.SecretKeySpec;
+
+import java.security.GeneralSecurityException;
+import java.security.MessageDigest;
+import java.util.Arrays;
+
+/**
+ * Signs stream tokens and idempotency keys with HMAC-SHA256. The result is cut to 128 bits, which RFC 2104 permits, as
+ * stream tokens stand in each event.
+ */
+public final class Signature {
+    /** Length of a signature. */
+    public static final int BYTES = 16;
+
+    private static final String ALGORITHM = "HmacSHA256";
+
+    private Signature() {}
+
+    /** Returns the key for some secret bytes. */
+    public static SecretKeySpec secret(byte[] bytes) {
+        return new SecretKeySpec(bytes, ALGORITHM);
+    }
+
+    /** Returns the signature of the first {@code length} bytes. */
+    public static byte[] sign(SecretKeySpec secret, byte[] bytes, int length) {
+        try {
+            Mac mac = Mac.getInstance(ALGORITHM);
+            mac.init(secret);
+            mac.update(bytes, 0, length);
+            return Arrays.copyOf(mac.doFinal(), BYTES);
+        } catch (GeneralSecurityException e) {
+            throw new IllegalStateException("the platform must provide " + ALGORITHM, e);
+        }
+    }
+
+    /** Tells, in constant time, whether bytes end with the signature of all that stands before it. */
+    public static boolean isSigned(SecretKeySpec secret, byte[] bytes) {
+        int length = bytes.length - BYTES;
+        return MessageDigest.isEqual(sign(secret, bytes, length), Arrays.copyOfRange(bytes, length, bytes.length));
+    }
+}
