--- a/core/src/main/java/org/verbenatally/config/ConfigReader.java
+++ b/core/src/main/java/org/verbenatally/config/ConfigReader.java
@@ -68,8 +68,9 @@
      * @param json the document, at most {@link #MAX_BYTES}
      * @throws ConfigException if the document is not accepted; lists every fault
      */
-    public static ConfigDocumentInForce readDocument(String source, byte[] json) throws ConfigException {
-        return new ConfigDocumentInForce(read(source, json), digest(json), json.clone());
+    public static ConfigDocumentInForce<Deployment> readDocument(String source, byte[] json) throws ConfigException {
+        DocumentReader<Deployment> reader = ConfigReader::read;
+        return reader.readDocument(source, json);
     }
 
     /** Returns the SHA-256 of a document. */
--- a/core/src/main/java/org/verbenatally/config/Deployment.java
+++ b/core/src/main/java/org/verbenatally/config/Deployment.java
@@ -30,7 +30,8 @@
         Map<OrganisationId, Organisation> organisations,
         Map<KindName, Kind> kinds,
         Map<TargetId, Target> targets,
-        double loadsPerMinute) {
+        double loadsPerMinute)
+        implements VersionedDeployment {
 
     /**
      * Limits on callers' input.
--- a/core/src/main/java/org/verbenatally/core/Logging.java
+++ b/core/src/main/java/org/verbenatally/core/Logging.java
@@ -14,6 +14,7 @@
 import org.jboss.logmanager.Level;
 import org.jboss.logmanager.LogContext;
 import org.jboss.logmanager.formatters.PatternFormatter;
+import org.jboss.logmanager.handlers.AsyncHandler;
 import org.jboss.logmanager.handlers.ConsoleHandler;
 import org.verbenatally.settings.LogSettings;
 
@@ -21,6 +22,9 @@
 public final class Logging {
     private static final String PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5p %s%e%n";
 
+    /** Lines that wait to be written; a burst of a second fits. */
+    private static final int QUEUED_LINES = 1_024;
+
     private Logging() {}
 
     /** Replaces the handlers of the root logger according to the settings. */
@@ -42,6 +46,31 @@
         }
     }
 
+    /**
+     * Sends structured lines to standard output, one JSON object each. Never blocks: lines that come faster than they
+     * can be written, or than {@code linesPerSecond}, are left out and counted.
+     *
+     * @param linesPerSecond most lines a second below level WARN
+     */
+    public static void configureStructured(int linesPerSecond) {
+        var root = LogContext.getLogContext().getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+            handler.close();
+        }
+        var console = new ConsoleHandler(ConsoleHandler.Target.SYSTEM_OUT, new JsonLines());
+        console.setLevel(Level.ALL);
+        var async = new AsyncHandler(QUEUED_LINES);
+        async.setOverflowAction(AsyncHandler.OverflowAction.DISCARD);
+        async.addHandler(console);
+        async.setFilter(new LineLimit(linesPerSecond));
+        root.addHandler(async);
+        root.setLevel(Level.INFO);
+        for (String library : List.of("io.netty", "io.vertx")) {
+            LogContext.getLogContext().getLogger(library).setLevel(Level.WARN);
+        }
+    }
+
     private static java.util.logging.Level level(LogSettings.Level level) {
         return switch (level) {
             case DEBUG -> Level.DEBUG;
@@ -60,9 +89,16 @@
             Map<String, Object> fields = new LinkedHashMap<>();
             fields.put("time", r.getInstant().toString());
             fields.put("level", r.getLevel().getName());
-            fields.put("logger", r.getLoggerName());
-            fields.put("thread", r.getThreadName());
-            fields.put("message", r.getFormattedMessage());
+            if (r.getParameters() != null
+                    && r.getParameters().length == 1
+                    && r.getParameters()[0] instanceof LogEvent e) {
+                fields.put("event", e.name());
+                fields.putAll(e.fields());
+            } else {
+                fields.put("logger", r.getLoggerName());
+                fields.put("thread", r.getThreadName());
+                fields.put("message", r.getFormattedMessage());
+            }
             if (r.getThrown() != null) {
                 fields.put("error", r.getThrown().toString());
             }
--- a/core/src/main/java/org/verbenatally/order/OrderIssuer.java
+++ b/core/src/main/java/org/verbenatally/order/OrderIssuer.java
@@ -49,7 +49,7 @@
 
     private final InstanceId self;
     private final Supplier<List<MemberInfo>> members;
-    private final ConfigHolder config;
+    private final ConfigHolder<Deployment> config;
     private final EngineControl control;
     private final TimerService timers;
     private final LoadBudget budget;
@@ -75,7 +75,7 @@
     public OrderIssuer(
             InstanceId self,
             Supplier<List<MemberInfo>> members,
-            ConfigHolder config,
+            ConfigHolder<Deployment> config,
             EngineControl control,
             TimerService timers) {
         this.self = Objects.requireNonNull(self, "self");
--- a/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
+++ b/core/src/main/java/org/verbenatally/peer/ConfigSpreader.java
@@ -20,7 +20,8 @@
 import org.verbenatally.config.ConfigHolder;
 import org.verbenatally.config.ConfigHolder.ConfigDocumentInForce;
 import org.verbenatally.config.ConfigReader;
-import org.verbenatally.config.Deployment;
+import org.verbenatally.config.DocumentReader;
+import org.verbenatally.config.VersionedDeployment;
 import org.verbenatally.peer.FrameCodec.BadFrameException;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.ConfigDelta;
@@ -34,7 +35,7 @@
  * platform and the known peers were asked, documents are only collected: the platform may serve an old copy to an
  * instance whose earlier run had a higher version in force.
  */
-final class ConfigSpreader {
+final class ConfigSpreader<D extends VersionedDeployment> {
     private static final Logger LOG = Logger.getLogger(ConfigSpreader.class);
 
     /** Rejected documents that are remembered, so that they are not fetched again from each peer. */
@@ -46,12 +47,13 @@
     private final String deployment;
     private final PeerTimings timings;
     private final TimerService timers;
-    private final ConfigHolder inForce;
+    private final ConfigHolder<D> inForce;
     /** The highest document seen, which is in force once the instance has asked its peers. */
-    private final ConfigHolder seen = new ConfigHolder();
+    private final ConfigHolder<D> seen = new ConfigHolder<>();
 
-    private final Consumer<ConfigDocumentInForce> onAccepted;
-    private final List<Consumer<Deployment>> listeners = new CopyOnWriteArrayList<>();
+    private final Consumer<ConfigDocumentInForce<D>> onAccepted;
+    private final DocumentReader<D> reader;
+    private final List<Consumer<D>> listeners = new CopyOnWriteArrayList<>();
     private final Set<String> rejected = Collections.newSetFromMap(new Lru());
     private final AtomicLong conflicts = new AtomicLong();
     private final AtomicLong rejections = new AtomicLong();
@@ -78,7 +80,12 @@
     }
 
     ConfigSpreader(
-            PeerOptions options, TimerService timers, ConfigHolder holder, Consumer<ConfigDocumentInForce> onAccepted) {
+            PeerOptions options,
+            TimerService timers,
+            ConfigHolder<D> holder,
+            DocumentReader<D> reader,
+            Consumer<ConfigDocumentInForce<D>> onAccepted) {
+        this.reader = reader;
         this.deployment = options.deployment();
         this.timings = options.timings();
         this.timers = timers;
@@ -86,12 +93,12 @@
         this.onAccepted = onAccepted;
     }
 
-    void listen(Consumer<Deployment> listener) {
+    void listen(Consumer<D> listener) {
         listeners.add(listener);
         inForce.deployment().ifPresent(listener);
     }
 
-    private Optional<ConfigDocumentInForce> highest() {
+    private Optional<ConfigDocumentInForce<D>> highest() {
         inForce.document().ifPresent(seen::offer);
         return seen.document();
     }
@@ -144,7 +151,7 @@
     }
 
     private boolean isHigher(long version, byte[] digest) {
-        Optional<ConfigDocumentInForce> own = highest();
+        Optional<ConfigDocumentInForce<D>> own = highest();
         if (own.isEmpty() || version > own.get().deployment().version().value()) {
             return true;
         }
@@ -177,7 +184,7 @@
                 .ifPresent(d -> link.send(answer(d, request)));
     }
 
-    private PeerFrame answer(ConfigDocumentInForce d, ConfigRequest request) {
+    private PeerFrame answer(ConfigDocumentInForce<D> d, ConfigRequest request) {
         long version = d.deployment().version().value();
         Base base = previous;
         if (base != null && request.isSetBaseDigest() && Arrays.equals(base.digest(), request.getBaseDigest())) {
@@ -193,7 +200,8 @@
 
     /** Takes the difference to the own document; asks for the whole one if that has changed in the meantime. */
     void onDelta(Link link, ConfigDelta delta) throws BadFrameException {
-        Optional<ConfigDocumentInForce> base = highest().filter(d -> Arrays.equals(d.digest(), delta.getBaseDigest()));
+        Optional<ConfigDocumentInForce<D>> base =
+                highest().filter(d -> Arrays.equals(d.digest(), delta.getBaseDigest()));
         if (base.isEmpty()) {
             link.send(PeerFrame.configRequest(new ConfigRequest(version())));
             return;
@@ -236,14 +244,14 @@
             }
         }
         try {
-            ConfigDocumentInForce document = ConfigReader.readDocument(source, body);
+            ConfigDocumentInForce<D> document = reader.readDocument(source, body);
             if (!document.deployment().name().equals(deployment)) {
                 throw new ConfigException(
                         source, List.of(new ConfigException.Fault(0, "/deployment", "must be \"" + deployment + "\"")));
             }
             // Notes a conflict if there is one; the holder decides again under its own lock.
             isHigher(document.deployment().version().value(), digest);
-            ConfigDocumentInForce before = highest().orElse(null);
+            ConfigDocumentInForce<D> before = highest().orElse(null);
             if (seen.offer(document)) {
                 previous = before == null ? null : new Base(before.digest(), before.body());
                 LOG.infof(
@@ -270,7 +278,7 @@
         highest().ifPresent(this::putInForce);
     }
 
-    private void putInForce(ConfigDocumentInForce document) {
+    private void putInForce(ConfigDocumentInForce<D> document) {
         if (inForce.offer(document)) {
             LOG.infof("config: version %s is in force", document.deployment().version());
             onAccepted.accept(document);
--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -49,7 +49,7 @@
     private final PeerTimings timings;
     private final Membership membership;
     private final TimerService timers;
-    private final ConfigHolder config;
+    private final ConfigHolder<?> config;
     private final PeerHandler handler;
 
     private record SuspectKey(long high, long low) {}
@@ -57,7 +57,11 @@
     private record SuspectState(int crashes, int isolatedCrashes, String runningOn) {}
 
     GossipExchange(
-            PeerTimings timings, Membership membership, TimerService timers, ConfigHolder config, PeerHandler handler) {
+            PeerTimings timings,
+            Membership membership,
+            TimerService timers,
+            ConfigHolder<?> config,
+            PeerHandler handler) {
         this.timings = timings;
         this.membership = membership;
         this.timers = timers;
--- a/core/src/main/java/org/verbenatally/peer/PeerBench.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerBench.java
@@ -22,6 +22,8 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.core.Address;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.InstanceId;
@@ -117,9 +119,9 @@
 
     /** A member that has requests in flight and receives what others have. */
     private static final class Member implements PeerHandler {
-        private final ConfigHolder config = new ConfigHolder();
+        private final ConfigHolder<Deployment> config = new ConfigHolder<>();
         private final List<TargetLoad> loads = new ArrayList<>();
-        private Peers peers;
+        private Peers<Deployment> peers;
 
         Member(RandomGenerator random, int inUse) {
             for (int i = 0; i < inUse; i++) {
@@ -285,8 +287,8 @@
                     Optional.empty(),
                     seed + i,
                     PeerTimings.standard());
-            member.peers =
-                    Peers.start(options, vertx, timers, member.config, member).get(10, TimeUnit.SECONDS);
+            member.peers = Peers.start(options, vertx, timers, member.config, ConfigReader::read, member)
+                    .get(10, TimeUnit.SECONDS);
             members.add(member);
         }
         return members;
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -18,7 +18,8 @@
 import io.vertx.core.net.NetServer;
 import org.jboss.logging.Logger;
 import org.verbenatally.config.ConfigHolder;
-import org.verbenatally.config.Deployment;
+import org.verbenatally.config.DocumentReader;
+import org.verbenatally.config.VersionedDeployment;
 import org.verbenatally.core.Address;
 import org.verbenatally.core.ConfigVersion;
 import org.verbenatally.core.Incarnation;
@@ -40,8 +41,10 @@
 /**
  * The peer network of an entry process over TCP: membership, state exchange, forwarding and configuration
  * dissemination. Start one with {@link #start}.
+ *
+ * @param <D> the kind of deployment document that the peers pass on
  */
-public final class Peers implements PeerNetwork {
+public final class Peers<D extends VersionedDeployment> implements PeerNetwork {
     private static final Logger LOG = Logger.getLogger(Peers.class);
 
     /** Peers that a starting instance asks; with the platform unreachable this many cannot all be behind for long. */
@@ -57,7 +60,7 @@
     private final Membership membership;
     private final Links links;
     private final GossipExchange exchange;
-    private final ConfigSpreader spreader;
+    private final ConfigSpreader<D> spreader;
     private final Forwarder forwarder;
     private final Optional<PlatformReader> platform;
     private final List<Subscription> subscriptions = new ArrayList<>();
@@ -70,7 +73,8 @@
             NetServer server,
             Links.Dialer dialer,
             TimerService timers,
-            ConfigHolder config,
+            ConfigHolder<D> config,
+            DocumentReader<D> reader,
             PeerHandler handler) {
         this.options = options;
         this.timers = timers;
@@ -83,12 +87,12 @@
                 options.region(),
                 MemberState.LIVE,
                 1,
-                config.deployment().map(Deployment::version).orElse(ConfigVersion.NONE),
+                config.deployment().map(VersionedDeployment::version).orElse(ConfigVersion.NONE),
                 Optional.empty());
         membership = new Membership(own, options.timings(), timers);
         links = new Links(options, self, membership, timers, dialer, server, new FrameListener());
         exchange = new GossipExchange(options.timings(), membership, timers, config, handler);
-        spreader = new ConfigSpreader(options, timers, config, document -> {
+        spreader = new ConfigSpreader<>(options, timers, config, reader, document -> {
             membership.setConfigVersion(document.deployment().version());
             flushSoon();
         });
@@ -104,25 +108,33 @@
      * @param vertx runs the connections
      * @param timers the process's timer service
      * @param config where accepted documents are put in force
+     * @param reader reads the documents that the platform and the peers offer
      * @param handler what the entry process supplies and receives
+     * @param <D> the kind of deployment document
      * @return the running network; fails with a {@link StepException} at step {@code CONNECT} if the port is taken
      */
-    public static CompletableFuture<Peers> start(
-            PeerOptions options, Vertx vertx, TimerService timers, ConfigHolder config, PeerHandler handler) {
+    public static <D extends VersionedDeployment> CompletableFuture<Peers<D>> start(
+            PeerOptions options,
+            Vertx vertx,
+            TimerService timers,
+            ConfigHolder<D> config,
+            DocumentReader<D> reader,
+            PeerHandler handler) {
         NetClient client = vertx.createNetClient(PeerTls.client(options));
-        return start(options, vertx, a -> client.connect(a.port(), a.host()), timers, config, handler);
+        return start(options, vertx, a -> client.connect(a.port(), a.host()), timers, config, reader, handler);
     }
 
-    static CompletableFuture<Peers> start(
+    static <D extends VersionedDeployment> CompletableFuture<Peers<D>> start(
             PeerOptions options,
             Vertx vertx,
             Links.Dialer dialer,
             TimerService timers,
-            ConfigHolder config,
+            ConfigHolder<D> config,
+            DocumentReader<D> reader,
             PeerHandler handler) {
         Objects.requireNonNull(handler, "handler");
-        var result = new CompletableFuture<Peers>();
-        var peers = new CompletableFuture<Peers>();
+        var result = new CompletableFuture<Peers<D>>();
+        var peers = new CompletableFuture<Peers<D>>();
         NetServer server = vertx.createNetServer(PeerTls.server(options));
         // Connections that come before the object is complete are accepted as soon as it is.
         server.connectHandler(socket -> {
@@ -142,7 +154,7 @@
                         listening.cause()));
                 return;
             }
-            Peers p = new Peers(options, vertx, server, dialer, timers, config, handler);
+            Peers<D> p = new Peers<>(options, vertx, server, dialer, timers, config, reader, handler);
             peers.complete(p);
             p.run();
             result.complete(p);
@@ -310,10 +322,22 @@
     }
 
     /** Calls the listener with each deployment that is put in force, and at once with the present one. */
-    public void onConfig(Consumer<Deployment> listener) {
+    public void onConfig(Consumer<D> listener) {
         spreader.listen(listener);
     }
 
+    /**
+     * Offers a document that came from another source than a peer; it is put in force if it is valid and higher than
+     * the present one.
+     *
+     * @param source where it came from, for messages
+     * @param body the document as published
+     * @return whether it is valid
+     */
+    public boolean offerConfig(String source, byte[] body) {
+        return spreader.offer(source, body);
+    }
+
     /** Calls the listener with each instance list that the platform returns; it lags and may be incomplete. */
     public void onInstances(Consumer<List<PlatformInstance>> listener) {
         platform.ifPresent(p -> p.listen(listener));
--- a/core/src/main/java/org/verbenatally/peer/PlatformReader.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformReader.java
@@ -28,7 +28,7 @@
     private final InstanceId self;
     private final PeerTimings timings;
     private final PlatformClient client;
-    private final ConfigSpreader spreader;
+    private final ConfigSpreader<?> spreader;
     private final Membership membership;
     private final UniformRandomProvider random;
     private final List<Consumer<List<PlatformInstance>>> listeners = new CopyOnWriteArrayList<>();
@@ -37,7 +37,7 @@
     private volatile Thread configTask;
     private volatile Thread listTask;
 
-    PlatformReader(PeerOptions options, PlatformClient client, ConfigSpreader spreader, Membership membership) {
+    PlatformReader(PeerOptions options, PlatformClient client, ConfigSpreader<?> spreader, Membership membership) {
         self = options.instance();
         timings = options.timings();
         this.client = client;
--- a/core/src/test/java/org/verbenatally/config/ConfigHolderTest.java
+++ b/core/src/test/java/org/verbenatally/config/ConfigHolderTest.java
@@ -20,7 +20,7 @@
     void endsWithTheHighestDocumentInWhateverOrderTheyArrive(
             @ForAll @Size(min = 1, max = 20) List<@IntRange(min = 1, max = 9) Integer> versions,
             @ForAll @Size(20) List<Byte> digests) {
-        ConfigHolder holder = new ConfigHolder();
+        ConfigHolder<Deployment> holder = new ConfigHolder<>();
         long highest = 0;
         for (int i = 0; i < versions.size(); i++) {
             long before = holder.deployment().map(d -> d.version().value()).orElse(0L);
@@ -35,8 +35,8 @@
     /** Guards against entries that settle on different documents when two operators publish one version. */
     @Test
     void equalVersionsConvergeOnTheHigherDigest() {
-        ConfigHolder one = new ConfigHolder();
-        ConfigHolder other = new ConfigHolder();
+        ConfigHolder<Deployment> one = new ConfigHolder<>();
+        ConfigHolder<Deployment> other = new ConfigHolder<>();
         assertThat(one.offer(document(3, (byte) 1))).isTrue();
         assertThat(one.offer(document(3, (byte) -1))).isTrue();
         assertThat(other.offer(document(3, (byte) -1))).isTrue();
@@ -45,7 +45,7 @@
                 .isEqualTo(other.document().orElseThrow().digest());
     }
 
-    private static ConfigDocumentInForce document(long version, byte digest) {
+    private static ConfigDocumentInForce<Deployment> document(long version, byte digest) {
         Deployment deployment = new Deployment(
                 "abay",
                 new ConfigVersion(version),
@@ -56,6 +56,6 @@
                 Map.of(),
                 Map.of(),
                 6);
-        return new ConfigDocumentInForce(deployment, new byte[] {digest}, new byte[0]);
+        return new ConfigDocumentInForce<>(deployment, new byte[] {digest}, new byte[0]);
     }
 }
--- a/core/src/test/java/org/verbenatally/order/OrderIssuerTest.java
+++ b/core/src/test/java/org/verbenatally/order/OrderIssuerTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.verbenatally.config.ConfigHolder;
 import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.Address;
 import org.verbenatally.core.ConfigVersion;
@@ -82,7 +83,7 @@
         }
     }
 
-    private static ConfigHolder config(long version, int entries) throws Exception {
+    private static ConfigHolder<Deployment> config(long version, int entries) throws Exception {
         String engine = """
                 {"id": "engine-%d", "type": "engine", "host": "127.0.0.1", "port": %d, "failureDomain": "Bole",
                  "checksFence": %s, "models": [{"model": "m", "version": "%d"}]}""";
@@ -95,7 +96,7 @@
                  "kinds": [{"name": "guide", "runsOn": "engine", "model": "m", "urgency": "patient", "value": "high",
                             "repeatable": true, "delivery": "stream", "deadlineMs": 1000}],
                  "targets": [%s]}""".formatted(version, entries, "0".repeat(64), targets);
-        var holder = new ConfigHolder();
+        var holder = new ConfigHolder<Deployment>();
         holder.offer(ConfigReader.readDocument("test", text.getBytes(StandardCharsets.UTF_8)));
         return holder;
     }
@@ -111,7 +112,7 @@
                 Optional.empty());
     }
 
-    private OrderIssuer issuer(String self, ConfigHolder config, List<MemberInfo> members) {
+    private OrderIssuer issuer(String self, ConfigHolder<Deployment> config, List<MemberInfo> members) {
         var issuer = new OrderIssuer(new InstanceId(self), () -> List.copyOf(members), config, engines, timers);
         run(issuer);
         timers.advance(OrderIssuer.SETTLE);
--- a/core/src/test/java/org/verbenatally/peer/Fleet.java
+++ b/core/src/test/java/org/verbenatally/peer/Fleet.java
@@ -15,6 +15,8 @@
 
 import io.vertx.core.Vertx;
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.core.Address;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.InstanceId;
@@ -45,7 +47,7 @@
     final Map<String, Node> nodes = new TreeMap<>();
 
     static final class Node implements PeerHandler {
-        final ConfigHolder config = new ConfigHolder();
+        final ConfigHolder<Deployment> config = new ConfigHolder<>();
         final List<Long> versions = new ArrayList<>();
         final Map<InstanceId, List<TargetLoad>> loads = new ConcurrentHashMap<>();
         final Map<InstanceId, Set<TargetId>> leaving = new ConcurrentHashMap<>();
@@ -55,7 +57,7 @@
         volatile List<TargetLoad> ownLoads = List.of();
         volatile Set<TargetId> ownLeaving = Set.of();
         volatile CompletableFuture<Void> answerGate = CompletableFuture.completedFuture(null);
-        Peers peers;
+        Peers<Deployment> peers;
 
         @Override
         public CompletableFuture<ForwardResult> onForward(InstanceId from, ForwardCall call) {
@@ -139,7 +141,7 @@
                 Optional.empty(),
                 7,
                 timings);
-        node.peers = Peers.start(options, vertx, network.from(id), timers, node.config, node)
+        node.peers = Peers.start(options, vertx, network.from(id), timers, node.config, ConfigReader::read, node)
                 .get(PATIENCE.toSeconds(), TimeUnit.SECONDS);
         node.peers.onConfig(d -> node.versions.add(d.version().value()));
         nodes.put(id, node);
--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -17,6 +17,8 @@
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.ConfigReader;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.caller.CallerServer;
@@ -46,7 +48,7 @@
     private final EntrySettings settings;
     private final Vertx vertx = Vertx.vertx();
     private final TimerService timer = new SystemTimerService();
-    private final ConfigHolder config = new ConfigHolder();
+    private final ConfigHolder<Deployment> config = new ConfigHolder<>();
     private final TargetTable targets = new TargetTable(timer);
     private final SuspectTable suspects = new SuspectTable(timer);
     private final EntryMetrics metrics = new EntryMetrics();
@@ -55,7 +57,7 @@
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final Dispatcher dispatcher;
     private final AtomicBoolean closing = new AtomicBoolean();
-    private Peers peers;
+    private Peers<Deployment> peers;
     private CallerServer callers;
     private StatusView status;
     private HttpEngineControl engines;
@@ -84,7 +86,7 @@
     public Ports start() {
         Context context = taskContext();
         PeerBridge bridge = new PeerBridge(targets, suspects);
-        peers = join(Peers.start(PeerOptions.of(settings), vertx, timer, config, bridge));
+        peers = join(Peers.start(PeerOptions.of(settings), vertx, timer, config, ConfigReader::read, bridge));
         TargetClients clients = new TargetClients(vertx);
         LoadPoller loads = new LoadPoller(clients, context, timer, config, targets, id -> peers.push());
         callers = new CallerServer(
--- a/entry/src/main/java/org/verbenatally/entry/StatusView.java
+++ b/entry/src/main/java/org/verbenatally/entry/StatusView.java
@@ -13,6 +13,7 @@
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.caller.CallerServer;
@@ -30,8 +31,8 @@
     private static final double DEFAULT_OBJECTIVE = 0.95;
 
     private final String instance;
-    private final ConfigHolder config;
-    private final Peers peers;
+    private final ConfigHolder<Deployment> config;
+    private final Peers<Deployment> peers;
     private final TargetTable targets;
     private final CallerServer callers;
     private final Dispatcher dispatcher;
@@ -40,8 +41,8 @@
 
     StatusView(
             String instance,
-            ConfigHolder config,
-            Peers peers,
+            ConfigHolder<Deployment> config,
+            Peers<Deployment> peers,
             TargetTable targets,
             CallerServer callers,
             Dispatcher dispatcher,
--- a/entry/src/main/java/org/verbenatally/entry/caller/Authenticator.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Authenticator.java
@@ -20,9 +20,9 @@
     private static final String SCHEME = "Bearer ";
     private static final byte[] NO_DIGEST = new byte[32];
 
-    private final ConfigHolder config;
+    private final ConfigHolder<Deployment> config;
 
-    Authenticator(ConfigHolder config) {
+    Authenticator(ConfigHolder<Deployment> config) {
         this.config = Objects.requireNonNull(config, "config");
     }
 
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerParts.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerParts.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.config.Kind;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.TargetId;
@@ -36,7 +37,7 @@
  */
 record CallerParts(
         TimerService timer,
-        ConfigHolder config,
+        ConfigHolder<Deployment> config,
         Dispatcher dispatcher,
         TargetTable targets,
         SuspectTable suspects,
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -16,6 +16,7 @@
 import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.Deployment;
 import org.verbenatally.entry.key.CallRunner;
 import org.verbenatally.entry.key.KeyIssuer;
 import org.verbenatally.entry.key.KeyedCalls;
@@ -74,7 +75,7 @@
             Vertx vertx,
             Context context,
             TimerService timer,
-            ConfigHolder config,
+            ConfigHolder<Deployment> config,
             Dispatcher dispatcher,
             TargetTable targets,
             SuspectTable suspects,
--- a/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
@@ -52,7 +52,7 @@
     private final HttpExchange http;
     private final Context context;
     private final TimerService timer;
-    private final ConfigHolder config;
+    private final ConfigHolder<Deployment> config;
     private final TargetTable targets;
     private final Consumer<TargetId> onLeaving;
     private final Map<TargetId, Long> nextNanos = new ConcurrentHashMap<>();
@@ -73,7 +73,7 @@
             TargetClients clients,
             Context context,
             TimerService timer,
-            ConfigHolder config,
+            ConfigHolder<Deployment> config,
             TargetTable targets,
             Consumer<TargetId> onLeaving) {
         this.http = clients.http();
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -0,0 +1,199 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.buffer.Buffer;
+import org.jboss.logging.Logger;
+import org.verbenatally.core.LogEvent;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+import org.verbenatally.core.StepException;
+import org.verbenatally.core.TargetId;
+
+/** The life of one request to a plain service: its answer is held until it is whole, then passed on unchanged. */
+final class CallRun {
+    private static final Logger LOG = Logger.getLogger(CallRun.class);
+
+    /** Largest answer that is held. */
+    private static final int MAX_ANSWER_BYTES = 8 << 20;
+    /** Targets that may turn a request away before it is refused. */
+    private static final int MAX_SENDS = 3;
+    /** A repeatable request leaves a silent target after this many objectives, while time for another is left. */
+    private static final int PATIENCE_OBJECTIVES = 2;
+    /** Time that an attempt needs at least to be of use. */
+    private static final Duration LEAST_TIME = Duration.ofMillis(5);
+
+    private static final Duration RETRY_AFTER = Duration.ofMillis(100);
+
+    private final ForwardParts parts;
+    private final ForwardedRequest r;
+    private final CallerExchange caller;
+    private final Set<TargetId> tried = new HashSet<>();
+    private int sends;
+    private int runs;
+    private Attempt failure;
+    private Buffer failureBody;
+
+    CallRun(ForwardParts parts, ForwardedRequest r, CallerExchange caller) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.r = Objects.requireNonNull(r, "r");
+        this.caller = Objects.requireNonNull(caller, "caller");
+    }
+
+    /** Runs the request to its end and returns its outcome, for logs and metrics. */
+    String run() {
+        while (!caller.isGone()) {
+            Duration left = r.left(parts.timer().nanos());
+            if (left.compareTo(LEAST_TIME) < 0) {
+                return finish(CallerExchange.GATEWAY_TIMEOUT, "deadline");
+            }
+            Optional<TargetRow> row = parts.chooser().service(r.service().name(), tried);
+            if (row.isEmpty()) {
+                return finish(CallerExchange.BAD_GATEWAY, "no target");
+            }
+            if (!maySend()) {
+                return finish(CallerExchange.BAD_GATEWAY, "no repeat allowed");
+            }
+            Optional<String> outcome = attempt(row.get(), left);
+            if (outcome.isPresent()) {
+                return outcome.get();
+            }
+        }
+        return "caller left";
+    }
+
+    private boolean maySend() {
+        if (sends == 0) {
+            parts.repeats().first(r.service().name());
+            return true;
+        }
+        return sends < MAX_SENDS && parts.repeats().tryRepeat(r.service().name());
+    }
+
+    private boolean mayRunAgain() {
+        return r.route().repetition() == Repetition.IDEMPOTENT
+                && runs < r.route().maxAttempts();
+    }
+
+    /** Sends the request once; returns the outcome if that decides it. */
+    private Optional<String> attempt(TargetRow row, Duration left) {
+        tried.add(row.target().id());
+        Flight flight = new Flight(row, null, 0, 0, () -> {});
+        try {
+            sends++;
+            var order = new TargetOrder(row.target().id(), left, r.organisation(), Optional.empty(), Optional.empty());
+            Attempt attempt = Attempt.start(parts, r, caller, row, order, patience(left));
+            return answered(attempt);
+        } catch (StepException e) {
+            return lost(row, e);
+        } finally {
+            flight.end();
+        }
+    }
+
+    private Duration patience(Duration left) {
+        boolean another = r.route().repetition() == Repetition.IDEMPOTENT
+                && runs + 1 < r.route().maxAttempts();
+        if (!another) {
+            return left;
+        }
+        Duration enough = r.route().objective().multipliedBy(PATIENCE_OBJECTIVES);
+        Duration half = left.dividedBy(2);
+        return enough.compareTo(half) < 0 ? enough : half;
+    }
+
+    private Optional<String> lost(TargetRow row, StepException e) {
+        long now = parts.timer().nanos();
+        LogEvent.of("attempt.failed")
+                .request(r.id())
+                .with("target", row.target().id())
+                .with("step", e.step())
+                .with("outcome", e.outcome())
+                .with("reason", e.getMessage())
+                .info(LOG);
+        if (caller.isGone()) {
+            return Optional.of("caller left");
+        }
+        if (e.outcome() == Outcome.NOT_RUN) {
+            sends--;
+            return Optional.empty();
+        }
+        runs++;
+        row.answered(true, now);
+        if (mayRunAgain()) {
+            return Optional.empty();
+        }
+        boolean late = r.left(now).compareTo(LEAST_TIME) < 0;
+        return Optional.of(finish(late ? CallerExchange.GATEWAY_TIMEOUT : CallerExchange.BAD_GATEWAY, "answer lost"));
+    }
+
+    private Optional<String> answered(Attempt attempt) {
+        AnswerHead head = attempt.head();
+        TargetRow row = attempt.row();
+        if (head.isForeign(r.id())) {
+            attempt.drop();
+            throw new StepException(
+                    Step.SEND, row.target().id().value(), Outcome.UNKNOWN, "answer belongs to another request");
+        }
+        Buffer body = body(attempt);
+        long now = parts.timer().nanos();
+        row.answered(head.notRun() || head.isServerError(), now);
+        if (head.notRun()) {
+            LogEvent.of("attempt.notRun")
+                    .request(r.id())
+                    .with("target", row.target().id())
+                    .with("status", head.status())
+                    .info(LOG);
+            return Optional.empty();
+        }
+        runs++;
+        if (head.isServerError() && mayRunAgain()) {
+            failure = attempt;
+            failureBody = body;
+            return Optional.empty();
+        }
+        caller.answer(attempt.response(), body);
+        return Optional.of(head.isSuccess() ? "served" : "target failed");
+    }
+
+    private Buffer body(Attempt attempt) {
+        String peer = attempt.row().target().id().value();
+        Buffer body = Buffer.buffer();
+        AnswerFeed feed = new AnswerFeed(attempt.response());
+        while (true) {
+            AnswerFeed.Item item = feed.next(r.left(parts.timer().nanos()));
+            if (item instanceof AnswerFeed.Piece piece && body.length() < MAX_ANSWER_BYTES) {
+                body.appendBuffer(piece.bytes());
+            } else if (item instanceof AnswerFeed.End) {
+                return body;
+            } else {
+                attempt.drop();
+                throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "answer broke off: " + item);
+            }
+        }
+    }
+
+    /** Ends a request that was not served: what is answered depends on whether a target may have run it. */
+    private String finish(int status, String reason) {
+        LogEvent.of("request.unserved")
+                .request(r.id())
+                .with("reason", reason)
+                .with("sends", sends)
+                .with("runs", runs)
+                .info(LOG);
+        if (failure != null) {
+            caller.answer(failure.response(), failureBody);
+            return "target failed";
+        }
+        if (runs == 0) {
+            caller.refuse(CallerExchange.UNAVAILABLE, RETRY_AFTER);
+            return "refused: " + reason;
+        }
+        caller.answer(status);
+        return "failed: " + reason;
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -0,0 +1,189 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Locale;
+import java.util.Objects;
+import java.util.concurrent.TimeoutException;
+import java.util.function.BooleanSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpHeaders;
+import io.vertx.core.http.HttpServerRequest;
+import io.vertx.core.http.HttpServerResponse;
+
+/** One request of a caller and its answer. All methods must be called on the context of the request. */
+final class CallerExchange {
+    static final int NOT_FOUND = 404;
+    static final int UNAUTHORIZED = 401;
+    static final int BAD_REQUEST = 400;
+    static final int TOO_LARGE = 413;
+    static final int BAD_GATEWAY = 502;
+    static final int UNAVAILABLE = 503;
+    static final int GATEWAY_TIMEOUT = 504;
+    /** A caller that takes no bytes for this long is given up; it has left without closing. */
+    private static final Duration SLOW_READER = Duration.ofSeconds(10);
+
+    private static final double MILLIS = 1_000;
+
+    private final HttpServerRequest request;
+    private final HttpServerResponse response;
+    private final BooleanSupplier stopping;
+    private Runnable onGone = () -> {};
+    private boolean gone;
+
+    /**
+     * Wraps a request whose body has not been read.
+     *
+     * @param request the request
+     * @param stopping whether connections are to be closed after their next answer
+     */
+    CallerExchange(HttpServerRequest request, BooleanSupplier stopping) {
+        this.request = Objects.requireNonNull(request, "request");
+        this.response = request.response();
+        this.stopping = Objects.requireNonNull(stopping, "stopping");
+        response.exceptionHandler(e -> left());
+        response.closeHandler(v -> left());
+        request.exceptionHandler(e -> left());
+    }
+
+    private void left() {
+        if (!gone && !response.ended()) {
+            gone = true;
+            onGone.run();
+        }
+    }
+
+    HttpServerRequest request() {
+        return request;
+    }
+
+    /** Tells whether the caller has closed its connection before the end of its answer. */
+    boolean isGone() {
+        return gone;
+    }
+
+    /** Sets what is to be broken off when the caller leaves; replaces what was set before. */
+    void onGone(Runnable action) {
+        onGone = action;
+        if (gone) {
+            action.run();
+        }
+    }
+
+    /** The body is longer than the configuration allows. */
+    static final class BodyTooLarge extends Exception {
+        private static final long serialVersionUID = 1;
+    }
+
+    /**
+     * Reads the whole body.
+     *
+     * @throws BodyTooLarge if it is longer than {@code maxBytes}
+     * @throws TimeoutException if it has not arrived within the limit
+     */
+    Buffer body(int maxBytes, Duration limit) throws BodyTooLarge, TimeoutException {
+        Promise<Boolean> whole = Promise.promise();
+        Buffer body = Buffer.buffer();
+        request.handler(part -> {
+            if (body.length() + part.length() > maxBytes) {
+                whole.tryComplete(false);
+            } else {
+                body.appendBuffer(part);
+            }
+        });
+        request.endHandler(v -> whole.tryComplete(true));
+        onGone = () -> whole.tryFail("caller has left");
+        request.resume();
+        if (!Waiting.await(whole.future(), limit)) {
+            throw new BodyTooLarge();
+        }
+        return body;
+    }
+
+    /** Answers that the request has not run and never will. */
+    void refuse(int status, Duration retryAfter) {
+        String seconds = String.format(Locale.ROOT, "%.2f", retryAfter.toMillis() / MILLIS);
+        response.putHeader(HttpHeaders.RETRY_AFTER, seconds);
+        answer(status);
+    }
+
+    /** Answers with a status of this instance. */
+    void answer(int status) {
+        if (!gone && !response.headWritten()) {
+            response.setStatusCode(status);
+            end(Buffer.buffer());
+        }
+    }
+
+    /** Passes on a whole answer of a target. */
+    void answer(HttpClientResponse answer, Buffer body) {
+        if (!gone) {
+            head(answer);
+            end(body);
+        }
+    }
+
+    /** Passes on the head of an answer whose body follows in pieces. */
+    void begin(HttpClientResponse answer) {
+        head(answer);
+        response.setChunked(true);
+        response.writeHead();
+    }
+
+    private void head(HttpClientResponse answer) {
+        response.setStatusCode(answer.statusCode());
+        response.setStatusMessage(answer.statusMessage());
+        Headers.copy(answer.headers(), response.headers());
+    }
+
+    /** Tells whether the head of the answer has been passed on. */
+    boolean hasBegun() {
+        return response.headWritten();
+    }
+
+    /** Passes on a piece of the body; waits while the caller is slow to read. */
+    void write(Buffer piece) {
+        if (gone) {
+            return;
+        }
+        response.write(piece);
+        if (response.writeQueueFull()) {
+            Promise<Void> drained = Promise.promise();
+            response.drainHandler(v -> drained.tryComplete());
+            try {
+                Waiting.await(drained.future(), SLOW_READER);
+            } catch (TimeoutException e) {
+                abort();
+            }
+        }
+    }
+
+    /** Ends an answer whose body was passed on in pieces. */
+    void end() {
+        end(Buffer.buffer());
+    }
+
+    private void end(Buffer last) {
+        if (gone) {
+            return;
+        }
+        if (stopping.getAsBoolean() && !response.headWritten()) {
+            response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
+        }
+        Future<Void> ended = response.end(last);
+        if (stopping.getAsBoolean()) {
+            ended.onComplete(v -> request.connection().close());
+        }
+    }
+
+    /** Breaks the answer off, so that the caller does not take it for whole. */
+    void abort() {
+        if (!gone) {
+            gone = true;
+            request.connection().close();
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardDeployment.java
@@ -0,0 +1,116 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.verbenatally.config.VersionedDeployment;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.core.ServiceName;
+
+/** Routes, services, organisations and limits in force. Immutable. */
+public final class ForwardDeployment implements VersionedDeployment {
+
+    /** Name of the only deployment that an instance serves. */
+    public static final String NAME = "forward";
+
+    /**
+     * Limits on what callers send.
+     *
+     * @param headerBytes largest request head
+     * @param bodyBytes largest request body
+     * @param idle how long a connection may stay without a request
+     */
+    public record CallerLimits(int headerBytes, int bodyBytes, Duration idle) {}
+
+    private record Prefix(String host, String path) {}
+
+    private final ConfigVersion version;
+    private final Map<Prefix, Route> routes;
+    private final Map<ServiceName, ServiceSpec> services;
+    private final Map<String, OrganisationId> credentials;
+    private final CallerLimits limits;
+
+    /**
+     * Creates a deployment.
+     *
+     * @param version its version
+     * @param routes routes; of two with the same host and prefix the first counts
+     * @param services services that the routes name
+     * @param credentials organisation of each credential; empty if no request needs one
+     * @param limits limits on what callers send
+     */
+    public ForwardDeployment(
+            ConfigVersion version,
+            List<Route> routes,
+            List<ServiceSpec> services,
+            Map<String, OrganisationId> credentials,
+            CallerLimits limits) {
+        this.version = Objects.requireNonNull(version, "version");
+        this.limits = Objects.requireNonNull(limits, "limits");
+        this.credentials = Map.copyOf(credentials);
+        this.routes = new HashMap<>();
+        routes.forEach(r -> this.routes.putIfAbsent(new Prefix(lower(r.host()), r.pathPrefix()), r));
+        this.services = new HashMap<>();
+        services.forEach(s -> this.services.put(s.name(), s));
+    }
+
+    private static String lower(String host) {
+        return host.toLowerCase(Locale.ROOT);
+    }
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public ConfigVersion version() {
+        return version;
+    }
+
+    /** Returns the route of a host whose prefix is the longest that begins the path. */
+    public Optional<Route> route(String host, String path) {
+        String lower = lower(host);
+        for (int slash = path.lastIndexOf('/'); slash >= 0; slash = path.lastIndexOf('/', slash - 1)) {
+            Route route = routes.get(new Prefix(lower, path.substring(0, slash + 1)));
+            if (route != null) {
+                return Optional.of(route);
+            }
+            if (slash == 0) {
+                break;
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns a service. */
+    public Optional<ServiceSpec> service(ServiceName service) {
+        return Optional.ofNullable(services.get(service));
+    }
+
+    /** Tells whether requests need a credential, unless their route is open. */
+    public boolean needsCredential() {
+        return !credentials.isEmpty();
+    }
+
+    /** Returns the organisation that a credential belongs to. */
+    public Optional<OrganisationId> organisation(String credential) {
+        return Optional.ofNullable(credentials.get(credential));
+    }
+
+    /** Returns the limits on what callers send. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /** Returns the number of routes. */
+    public int routeCount() {
+        return routes.size();
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -0,0 +1,149 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpServerRequest;
+import org.jboss.logging.Logger;
+import org.verbenatally.core.LogEvent;
+import org.verbenatally.core.OrganisationId;
+
+/** Takes the requests of callers: finds their route, checks them and runs each in the task that accepted it. */
+final class ForwardHandler {
+    private static final Logger LOG = Logger.getLogger(ForwardHandler.class);
+
+    private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+    /** Callers that state no patience are waited for this long while they send their body. */
+    private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+
+    private final ForwardParts parts;
+    private final Supplier<Optional<ForwardDeployment>> deployment;
+    private final Shutdown shutdown;
+    private final Context context;
+
+    ForwardHandler(
+            ForwardParts parts, Supplier<Optional<ForwardDeployment>> deployment, Shutdown shutdown, Context context) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.deployment = Objects.requireNonNull(deployment, "deployment");
+        this.shutdown = Objects.requireNonNull(shutdown, "shutdown");
+        this.context = Objects.requireNonNull(context, "context");
+    }
+
+    /** A request that is answered before a service is asked. */
+    private static final class Rejected extends Exception {
+        private static final long serialVersionUID = 1;
+
+        private final int status;
+
+        Rejected(int status, String reason) {
+            super(reason);
+            this.status = status;
+        }
+    }
+
+    void handle(HttpServerRequest request) {
+        long start = parts.timer().nanos();
+        shutdown.begin();
+        CallerExchange caller = new CallerExchange(request, shutdown::isStopping);
+        try {
+            run(caller, start);
+        } catch (Rejected e) {
+            reject(caller, e);
+        } catch (Exception e) {
+            // The exchange with the caller fails with undeclared checked exceptions when its connection is lost.
+            if (!caller.isGone()) {
+                LOG.errorf(e, "forward: a request failed with an internal error");
+            }
+            caller.abort();
+        } finally {
+            shutdown.end();
+        }
+    }
+
+    private void reject(CallerExchange caller, Rejected e) {
+        parts.metrics().count("rejected");
+        LogEvent.of("request.rejected")
+                .with("status", e.status)
+                .with("reason", e.getMessage())
+                .with("path", caller.request().path())
+                .with("version", deployment.get().map(d -> d.version().value()).orElse(0L))
+                .info(LOG);
+        if (e.status == CallerExchange.UNAVAILABLE) {
+            caller.refuse(e.status, RETRY_AFTER);
+        } else {
+            caller.answer(e.status);
+        }
+    }
+
+    private void run(CallerExchange caller, long start) throws Rejected {
+        RequestHead head;
+        try {
+            head = parts.codec().read(caller.request());
+        } catch (IllegalArgumentException e) {
+            throw new Rejected(CallerExchange.BAD_REQUEST, e.getMessage());
+        }
+        ForwardDeployment present = deployment
+                .get()
+                .orElseThrow(() -> new Rejected(CallerExchange.UNAVAILABLE, "no configuration is known yet"));
+        Buffer body = body(caller, head, present);
+        // The configuration may have changed while the body arrived.
+        ForwardDeployment d = deployment.get().orElse(present);
+        Route route =
+                d.route(head.host(), head.path()).orElseThrow(() -> new Rejected(CallerExchange.NOT_FOUND, "no route"));
+        Optional<OrganisationId> organisation = organisation(d, route, head);
+        ServiceSpec service = d.service(route.service(head.id().hashCode()))
+                .orElseThrow(() -> new Rejected(CallerExchange.UNAVAILABLE, "route names an unknown service"));
+        if (!shutdown.accepts(route.repetition())) {
+            throw new Rejected(CallerExchange.UNAVAILABLE, "this instance is stopping");
+        }
+        Duration patience =
+                head.patience().filter(p -> p.compareTo(route.timeout()) < 0).orElse(route.timeout());
+        ForwardedRequest r = new ForwardedRequest(head, route, service, organisation, body, start + patience.toNanos());
+        LogEvent.of("request.accepted")
+                .request(r.id())
+                .with("route", route.name())
+                .with("service", service.name())
+                .with("organisation", organisation.map(Object::toString).orElse(""))
+                .with("patienceMs", patience.toMillis())
+                .with("version", d.version().value())
+                .info(LOG);
+        boolean generates =
+                route.repetition() == Repetition.GENERATION && service.engine().isPresent();
+        String outcome = generates
+                ? new StreamRun(parts, r, head.generation().orElse(Generation.UNKNOWN), caller, context).run()
+                : new CallRun(parts, r, caller).run();
+        Duration took = Duration.ofNanos(parts.timer().nanos() - start);
+        parts.metrics().ended(route.repetition(), outcome, took);
+        LogEvent.of("request.ended")
+                .request(r.id())
+                .with("outcome", outcome)
+                .with("ms", took.toMillis())
+                .info(LOG);
+    }
+
+    private static Buffer body(CallerExchange caller, RequestHead head, ForwardDeployment d) throws Rejected {
+        try {
+            return caller.body(d.limits().bodyBytes(), head.patience().orElse(BODY_TIMEOUT));
+        } catch (CallerExchange.BodyTooLarge e) {
+            throw new Rejected(
+                    CallerExchange.TOO_LARGE,
+                    "body is longer than " + d.limits().bodyBytes() + " bytes");
+        } catch (TimeoutException e) {
+            throw new Rejected(CallerExchange.UNAVAILABLE, "body did not arrive in time");
+        }
+    }
+
+    private static Optional<OrganisationId> organisation(ForwardDeployment d, Route route, RequestHead head)
+            throws Rejected {
+        Optional<OrganisationId> organisation = head.credential().flatMap(d::organisation);
+        if (organisation.isEmpty() && d.needsCredential() && !route.open()) {
+            throw new Rejected(CallerExchange.UNAUTHORIZED, "credential is missing or unknown");
+        }
+        return organisation;
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardMetrics.java
@@ -0,0 +1,43 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.function.Supplier;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+
+/** Counters and latency histograms of a forwarding instance. Labels are bounded: outcomes and kinds of repetition. */
+public final class ForwardMetrics {
+    private final PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** Counts the end of a request. */
+    void ended(Repetition repetition, String outcome, Duration took) {
+        Timer.builder("verbenatally.requests")
+                .tag("repetition", repetition.name())
+                .tag("outcome", outcome)
+                .publishPercentileHistogram(false)
+                .register(registry)
+                .record(took);
+    }
+
+    /** Counts a decision. */
+    public void count(String decision) {
+        Counter.builder("verbenatally.decisions")
+                .tag("decision", decision)
+                .register(registry)
+                .increment();
+    }
+
+    /** Shows a value that changes by itself. */
+    public void gauge(String name, Supplier<Number> value) {
+        Gauge.builder(name, value).register(registry);
+    }
+
+    /** Returns all metrics as text. */
+    public String scrape() {
+        return registry.scrape();
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
@@ -0,0 +1,23 @@
+package org.verbenatally.forward;
+
+import org.verbenatally.time.TimerService;
+
+/**
+ * The parts of an instance that the life of a request uses.
+ *
+ * @param timer clock
+ * @param directory targets
+ * @param chooser chooses targets
+ * @param client connections to targets
+ * @param codec translates heads
+ * @param repeats bounds repeated sends
+ * @param metrics counters
+ */
+record ForwardParts(
+        TimerService timer,
+        TargetDirectory directory,
+        TargetChooser chooser,
+        TargetClient client,
+        WireCodec codec,
+        RepeatAllowance repeats,
+        ForwardMetrics metrics) {}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -0,0 +1,196 @@
+package org.verbenatally.forward;
+
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import io.vertx.core.Context;
+import io.vertx.core.DeploymentOptions;
+import io.vertx.core.Future;
+import io.vertx.core.ThreadingModel;
+import io.vertx.core.VerticleBase;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServerOptions;
+import io.vertx.core.http.HttpServerRequest;
+import org.jboss.logging.Logger;
+import org.verbenatally.config.ConfigHolder;
+import org.verbenatally.config.DocumentReader;
+import org.verbenatally.core.LogEvent;
+import org.verbenatally.peer.MemberInfo;
+import org.verbenatally.peer.Peers;
+import org.verbenatally.time.TimerService;
+
+/**
+ * One forwarding instance: the facade of this module. Its configuration is offered with {@link #offerConfig}, its
+ * targets through the {@link #directory}.
+ */
+public final class ForwardServer {
+    private static final Logger LOG = Logger.getLogger(ForwardServer.class);
+    private static final long START_TIMEOUT_SECONDS = 20;
+    private static final int MAX_HEADER_BYTES = 32_768;
+    /** Connections without a request for longer than this are closed; configurations allow less. */
+    private static final int IDLE_SECONDS = 120;
+
+    private static final int OK = 200;
+
+    private final ForwardOptions options;
+    private final Vertx vertx;
+    private final TimerService timer;
+    private final ConfigHolder<ForwardDeployment> config = new ConfigHolder<>();
+    private final TargetDirectory directory;
+    private final ForwardMetrics metrics = new ForwardMetrics();
+    private final Shutdown shutdown;
+    private final ForwardParts parts;
+    private volatile Peers<ForwardDeployment> peers;
+
+    /**
+     * Creates an instance that does not listen yet.
+     *
+     * @param options what it knows of itself
+     * @param vertx runs its connections
+     * @param timer its timer service
+     * @param codec translates the heads of messages
+     */
+    public ForwardServer(ForwardOptions options, Vertx vertx, TimerService timer, WireCodec codec) {
+        this.options = Objects.requireNonNull(options, "options");
+        this.vertx = Objects.requireNonNull(vertx, "vertx");
+        this.timer = Objects.requireNonNull(timer, "timer");
+        this.directory = new TargetDirectory(timer, this::pushToPeers);
+        this.shutdown = new Shutdown(timer, options.grace());
+        this.parts = new ForwardParts(
+                timer,
+                directory,
+                new TargetChooser(timer, directory, options.peers().failureDomain()),
+                new TargetClient(vertx, this::liveMembers),
+                codec,
+                new RepeatAllowance(timer, options.repeats(), this::liveMembers),
+                metrics);
+        metrics.gauge("verbenatally.open.requests", shutdown::open);
+        metrics.gauge(
+                "verbenatally.config.version",
+                () -> config.deployment().map(d -> d.version().value()).orElse(0L));
+        metrics.gauge("verbenatally.members", this::liveMembers);
+    }
+
+    private void pushToPeers() {
+        Peers<ForwardDeployment> p = peers;
+        if (p != null) {
+            p.push();
+        }
+    }
+
+    private int liveMembers() {
+        Peers<ForwardDeployment> p = peers;
+        return p == null
+                ? 1
+                : (int) p.members().stream()
+                        .filter(m -> m.status() == MemberInfo.Status.LIVE)
+                        .count();
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param reader reads the configurations that are offered
+     * @throws java.util.concurrent.CompletionException if an address is taken or the start takes too long
+     */
+    public void start(DocumentReader<ForwardDeployment> reader) {
+        await(vertx.deployVerticle(
+                Readiness::new, new DeploymentOptions().setThreadingModel(ThreadingModel.EVENT_LOOP)));
+        peers = join(Peers.start(options.peers(), vertx, timer, config, reader, new ForwardPeers(directory)));
+        peers.onConfig(d -> LogEvent.of("config.inForce")
+                .with("version", d.version().value())
+                .with("routes", d.routeCount())
+                .info(LOG));
+        await(vertx.deployVerticle(
+                Callers::new, new DeploymentOptions().setThreadingModel(ThreadingModel.VIRTUAL_THREAD)));
+        LogEvent.of("instance.started")
+                .with("instance", options.peers().instance())
+                .with("callers", options.callers())
+                .info(LOG);
+    }
+
+    private static <T> T await(Future<T> future) {
+        return join(future.toCompletionStage().toCompletableFuture());
+    }
+
+    private static <T> T join(CompletableFuture<T> future) {
+        return future.orTimeout(START_TIMEOUT_SECONDS, TimeUnit.SECONDS).join();
+    }
+
+    /** Offers a configuration; it is put in force if it is valid and higher than the present one. */
+    public boolean offerConfig(String source, byte[] body) {
+        return peers.offerConfig(source, body);
+    }
+
+    /** Returns the targets. */
+    public TargetDirectory directory() {
+        return directory;
+    }
+
+    /** Returns the metrics. */
+    public ForwardMetrics metrics() {
+        return metrics;
+    }
+
+    /** Returns why the instance must get no new connections, or empty if it is ready. */
+    public Optional<String> notReadyReason() {
+        if (shutdown.isStopping()) {
+            return Optional.of("stopping");
+        }
+        if (config.deployment().isEmpty()) {
+            return Optional.of("no configuration is in force");
+        }
+        return directory.isKnown() ? Optional.empty() : Optional.of("no targets are known");
+    }
+
+    /** Starts a graceful shutdown; completes when the process may end. */
+    public CompletableFuture<Void> stop() {
+        peers.leave();
+        return shutdown.start();
+    }
+
+    private final class Callers extends VerticleBase {
+        @Override
+        public Future<?> start() {
+            Context own = context;
+            ForwardHandler handler = new ForwardHandler(parts, config::deployment, shutdown, own);
+            return vertx.createHttpServer(new HttpServerOptions()
+                            .setMaxHeaderSize(MAX_HEADER_BYTES)
+                            .setIdleTimeout(IDLE_SECONDS)
+                            .setHandle100ContinueAutomatically(true)
+                            .setTcpNoDelay(true))
+                    .requestHandler(request -> {
+                        request.pause();
+                        handler.handle(request);
+                    })
+                    .listen(options.callers().port(), options.callers().host());
+        }
+    }
+
+    private final class Readiness extends VerticleBase {
+        @Override
+        public Future<?> start() {
+            Future<?> ready = vertx.createHttpServer()
+                    .requestHandler(this::answer)
+                    .listen(options.readiness().port(), options.readiness().host());
+            Future<?> scrape = options.metrics().isEmpty()
+                    ? Future.succeededFuture()
+                    : vertx.createHttpServer()
+                            .requestHandler(request -> request.response().end(metrics.scrape()))
+                            .listen(
+                                    options.metrics().get().port(),
+                                    options.metrics().get().host());
+            return Future.all(ready, scrape);
+        }
+
+        private void answer(HttpServerRequest request) {
+            int status = CallerExchange.NOT_FOUND;
+            if (request.path().equals(options.readinessPath())) {
+                status = notReadyReason().isEmpty() ? OK : CallerExchange.UNAVAILABLE;
+            }
+            request.response().setStatusCode(status).end();
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardedRequest.java
@@ -0,0 +1,35 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import io.vertx.core.buffer.Buffer;
+import org.verbenatally.core.OrganisationId;
+
+/**
+ * A request that may be sent to a target.
+ *
+ * @param head what it says about itself
+ * @param route its route
+ * @param service its service
+ * @param organisation organisation of its caller, if known
+ * @param body its whole body
+ * @param deadlineNanos monotonic time at which its answer is of no more use
+ */
+record ForwardedRequest(
+        RequestHead head,
+        Route route,
+        ServiceSpec service,
+        Optional<OrganisationId> organisation,
+        Buffer body,
+        long deadlineNanos) {
+
+    /** Returns the time until the deadline; may be negative. */
+    Duration left(long now) {
+        return Duration.ofNanos(deadlineNanos - now);
+    }
+
+    String id() {
+        return head.id();
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/Headers.java
@@ -0,0 +1,43 @@
+package org.verbenatally.forward;
+
+import java.util.Locale;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.http.HttpHeaders;
+
+/** Copies the headers of a message that concern more than one connection (RFC 9110, section 7.6.1). */
+final class Headers {
+    private static final Set<String> ONE_CONNECTION = Set.of(
+            "connection",
+            "keep-alive",
+            "proxy-connection",
+            "proxy-authenticate",
+            "proxy-authorization",
+            "te",
+            "trailer",
+            "transfer-encoding",
+            "upgrade",
+            "expect",
+            "content-length");
+
+    private Headers() {}
+
+    /** Adds all headers but those of one connection and the length, which the sender states anew. */
+    static void copy(MultiMap from, MultiMap to) {
+        Set<String> named = new TreeSet<>(String.CASE_INSENSITIVE_ORDER);
+        for (String value : from.getAll(HttpHeaders.CONNECTION)) {
+            for (String name : value.split(",")) {
+                named.add(name.strip());
+            }
+        }
+        for (Map.Entry<String, String> header : from) {
+            String name = header.getKey();
+            if (!ONE_CONNECTION.contains(name.toLowerCase(Locale.ROOT)) && !named.contains(name)) {
+                to.add(name, header.getValue());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/RepeatAllowance.java
@@ -0,0 +1,96 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
+
+import org.verbenatally.core.ServiceName;
+import org.verbenatally.time.TimerService;
+
+/**
+ * Bounds how often requests are sent a second time to each service, over a sliding window: a share of the first sends
+ * of this instance, and its part of a fixed number that all instances have together. Safe for use by several threads.
+ */
+public final class RepeatAllowance {
+    /** Part of the allowance that is used, since the windows and the members of two instances differ. */
+    private static final double USED_PART = 0.7;
+
+    /**
+     * The rule that all instances keep together.
+     *
+     * @param ratio repeats allowed for each first send
+     * @param window length of the sliding window
+     * @param slack repeats allowed besides in any window, over all instances
+     */
+    public record Rule(double ratio, Duration window, int slack) {}
+
+    private static final class Counts {
+        final Deque<Long> first = new ArrayDeque<>();
+        final Deque<Long> repeats = new ArrayDeque<>();
+
+        void trim(long until) {
+            trim(first, until);
+            trim(repeats, until);
+        }
+
+        private static void trim(Deque<Long> times, long until) {
+            while (!times.isEmpty() && times.peekFirst() - until < 0) {
+                times.removeFirst();
+            }
+        }
+    }
+
+    private final TimerService timer;
+    private final Rule rule;
+    private final IntSupplier members;
+    private final Map<ServiceName, Counts> services = new HashMap<>();
+
+    /**
+     * Creates an unused allowance.
+     *
+     * @param timer clock
+     * @param rule the rule
+     * @param members live instances, this one included
+     */
+    public RepeatAllowance(TimerService timer, Rule rule, IntSupplier members) {
+        this.timer = Objects.requireNonNull(timer, "timer");
+        this.rule = Objects.requireNonNull(rule, "rule");
+        this.members = Objects.requireNonNull(members, "members");
+    }
+
+    private Counts counts(ServiceName service) {
+        Counts counts = services.computeIfAbsent(service, s -> new Counts());
+        counts.trim(timer.nanos() - rule.window().toNanos());
+        return counts;
+    }
+
+    /** Counts a first send. */
+    synchronized void first(ServiceName service) {
+        counts(service).first.addLast(timer.nanos());
+    }
+
+    /** Takes one repeat, if the rule allows it. */
+    synchronized boolean tryRepeat(ServiceName service) {
+        Counts counts = counts(service);
+        double most = rule.ratio() * counts.first.size() + rule.slack() / (double) Math.max(1, members.getAsInt());
+        boolean allowed = counts.repeats.size() + 1 <= USED_PART * most;
+        if (allowed) {
+            counts.repeats.addLast(timer.nanos());
+        }
+        return allowed;
+    }
+
+    /** Returns the repeats of the present window, for reports. */
+    synchronized int repeats(ServiceName service) {
+        return counts(service).repeats.size();
+    }
+
+    static Duration seconds(double seconds) {
+        return Duration.ofNanos((long) (seconds * TimeUnit.SECONDS.toNanos(1)));
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/Route.java
@@ -0,0 +1,82 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.verbenatally.core.RouteName;
+import org.verbenatally.core.ServiceName;
+
+/**
+ * Sends the requests of one host and path prefix to services.
+ *
+ * @param name its name
+ * @param host host that requests name
+ * @param pathPrefix start of the path; begins and ends with a slash
+ * @param repetition what may be sent again
+ * @param timeout longest time that a caller is kept waiting for the end of the answer
+ * @param objective time to the answer, or to its first event, that callers expect
+ * @param priority rank of its requests, 0 first
+ * @param shares services and their weights; at least one
+ * @param maxAttempts most targets that one request may run on
+ * @param open whether no credential is needed
+ * @param gapTarget longest pause between events that callers expect; empty if the answer is not a series of events
+ */
+public record Route(
+        RouteName name,
+        String host,
+        String pathPrefix,
+        Repetition repetition,
+        Duration timeout,
+        Duration objective,
+        int priority,
+        List<Share> shares,
+        int maxAttempts,
+        boolean open,
+        Optional<Duration> gapTarget) {
+
+    /**
+     * Part of a route's requests that goes to one service.
+     *
+     * @param service the service
+     * @param weight its weight against the other shares; not negative
+     */
+    public record Share(ServiceName service, int weight) {}
+
+    /**
+     * Checks the parts.
+     *
+     * @throws IllegalArgumentException if the prefix has no slash at its ends or there is no share
+     */
+    public Route {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(host, "host");
+        Objects.requireNonNull(repetition, "repetition");
+        Objects.requireNonNull(timeout, "timeout");
+        Objects.requireNonNull(objective, "objective");
+        shares = List.copyOf(shares);
+        if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
+            throw new IllegalArgumentException("route " + name + ": path prefix must begin and end with a slash");
+        }
+        if (shares.isEmpty() || maxAttempts < 1) {
+            throw new IllegalArgumentException("route " + name + ": needs a service and an attempt");
+        }
+    }
+
+    /** Returns the service for a request; the same choice gives the same service while the weights stay. */
+    ServiceName service(int choice) {
+        int total = shares.stream().mapToInt(Share::weight).sum();
+        if (total <= 0) {
+            return shares.getFirst().service();
+        }
+        int rest = Math.floorMod(choice, total);
+        for (Share share : shares) {
+            rest -= share.weight();
+            if (rest < 0) {
+                return share.service();
+            }
+        }
+        return shares.getLast().service();
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ServiceSpec.java
@@ -0,0 +1,34 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.verbenatally.core.ServiceName;
+
+/**
+ * A group of targets that serve the same requests.
+ *
+ * @param name its name
+ * @param maxConnections most connections that one target accepts from all instances together
+ * @param engine what its targets do as model engines; empty for a plain service
+ */
+public record ServiceSpec(ServiceName name, int maxConnections, Optional<EngineTraits> engine) {
+
+    /**
+     * What the model engines of a service have in common.
+     *
+     * @param batchSlots generations that run at once
+     * @param memoryTokens key-value memory, in tokens
+     * @param copies whether a running generation can be copied to another engine
+     * @param backups whether an engine can keep a second copy of a running generation up to date elsewhere
+     * @param copyLife how long a copy is kept that nobody uses
+     */
+    public record EngineTraits(int batchSlots, long memoryTokens, boolean copies, boolean backups, Duration copyLife) {}
+
+    /** Checks that the parts are there. */
+    public ServiceSpec {
+        Objects.requireNonNull(name, "name");
+        Objects.requireNonNull(engine, "engine");
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/Shutdown.java
@@ -0,0 +1,89 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.jboss.logging.Logger;
+import org.verbenatally.core.LogEvent;
+import org.verbenatally.time.TimerService;
+
+/**
+ * Graceful shutdown: the instance is unready at once, goes on accepting work until the load balancer has noticed, then
+ * refuses what would not end in time, and stops when nothing is open or the grace period is nearly over.
+ */
+final class Shutdown {
+    private static final Logger LOG = Logger.getLogger(Shutdown.class);
+    private static final Duration CHECK = Duration.ofMillis(100);
+    /** Part of the grace period in which new generations are still accepted. */
+    private static final double ACCEPTING_PART = 0.3;
+    /** The load balancer sends new connections until it has missed two answers, one second apart. */
+    private static final Duration BALANCER_LAG = Duration.ofMillis(2_500);
+    /** Time that the end of the process itself needs. */
+    private static final Duration EXIT_TIME = Duration.ofMillis(250);
+
+    private final TimerService timer;
+    private final Duration grace;
+    private final AtomicInteger open = new AtomicInteger();
+    private final CompletableFuture<Void> done = new CompletableFuture<>();
+    private volatile boolean stopping;
+    private volatile long startNanos;
+
+    Shutdown(TimerService timer, Duration grace) {
+        this.timer = Objects.requireNonNull(timer, "timer");
+        this.grace = Objects.requireNonNull(grace, "grace");
+    }
+
+    void begin() {
+        open.incrementAndGet();
+    }
+
+    void end() {
+        open.decrementAndGet();
+    }
+
+    int open() {
+        return open.get();
+    }
+
+    boolean isStopping() {
+        return stopping;
+    }
+
+    private Duration elapsed() {
+        return Duration.ofNanos(timer.nanos() - startNanos);
+    }
+
+    /** Tells whether a new request may still end within the grace period. */
+    boolean accepts(Repetition repetition) {
+        if (!stopping) {
+            return true;
+        }
+        boolean longLived = repetition == Repetition.GENERATION;
+        return !longLived || elapsed().toNanos() < ACCEPTING_PART * grace.toNanos();
+    }
+
+    /** Starts the shutdown; completes when the process may end. */
+    synchronized CompletableFuture<Void> start() {
+        if (!stopping) {
+            startNanos = timer.nanos();
+            stopping = true;
+            LogEvent.of("instance.stopping").with("open", open.get()).info(LOG);
+            timer.every(CHECK, tick -> check());
+        }
+        return done;
+    }
+
+    private void check() {
+        Duration elapsed = elapsed();
+        boolean idle = open.get() == 0 && elapsed.compareTo(BALANCER_LAG) > 0;
+        if ((idle || elapsed.compareTo(grace.minus(EXIT_TIME)) > 0) && !done.isDone()) {
+            LogEvent.of("instance.stopped")
+                    .with("open", open.get())
+                    .with("ms", elapsed.toMillis())
+                    .info(LOG);
+            done.complete(null);
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
@@ -0,0 +1,118 @@
+package org.verbenatally.forward;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.ToDoubleFunction;
+
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.time.TimerService;
+
+/** Chooses the target of a request, and the engine that keeps the copy of a generation. */
+final class TargetChooser {
+    /** Cost of a target in another failure domain, in busy slots: a tie goes to the near one, a queue does not. */
+    private static final double FAR_COST = 0.15;
+    /** Cost of a target that fails all requests, in busy slots. */
+    private static final double FAILURE_COST = 4;
+    /** Peers' counts are half a second old; short calls among them have mostly ended. */
+    private static final double PEER_CALLS_WEIGHT = 0.25;
+    /** Prompt tokens that an engine reads in a millisecond; only the ratio to the costs below matters. */
+    private static final double READ_TOKENS_PER_MS = 10;
+    /** What each running generation adds to the time of the steps that a new one waits for, in milliseconds. */
+    private static final double NEIGHBOUR_MS = 3;
+    /** Share of an engine's memory that is planned for; beyond it generations may be interrupted and read again. */
+    private static final double PLANNED_MEMORY = 0.92;
+    /** Cost of planning beyond the memory, in milliseconds for the whole memory. */
+    private static final double OVERFLOW_MS = 20_000;
+    /** Cost of an engine in another failure domain, in milliseconds. */
+    private static final double FAR_MS = 8;
+    /** Spread of equal choices, so that instances with the same reports do not all choose alike. */
+    private static final double SPREAD_MS = 10;
+
+    private final TimerService timer;
+    private final TargetDirectory directory;
+    private final FailureDomain here;
+    private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create();
+
+    TargetChooser(TimerService timer, TargetDirectory directory, FailureDomain here) {
+        this.timer = Objects.requireNonNull(timer, "timer");
+        this.directory = Objects.requireNonNull(directory, "directory");
+        this.here = Objects.requireNonNull(here, "here");
+    }
+
+    private Optional<TargetRow> least(List<TargetRow> rows, ToDoubleFunction<TargetRow> cost) {
+        record Costed(TargetRow row, double cost) {}
+
+        return rows.stream()
+                .map(row -> new Costed(row, cost.applyAsDouble(row)))
+                .min(Comparator.comparingDouble(Costed::cost))
+                .map(Costed::row);
+    }
+
+    private List<TargetRow> usable(ServiceName service, Set<TargetId> exclude) {
+        long now = timer.nanos();
+        List<TargetRow> rows = directory.candidates(service).stream()
+                .filter(row -> !exclude.contains(row.target().id()))
+                .toList();
+        List<TargetRow> reached =
+                rows.stream().filter(row -> !row.isSuspended(now)).toList();
+        return reached.isEmpty() ? rows : reached;
+    }
+
+    /** Returns the target of a plain service for a request. */
+    Optional<TargetRow> service(ServiceName service, Set<TargetId> exclude) {
+        long now = timer.nanos();
+        return least(usable(service, exclude), row -> {
+            double busy = row.ownRequests() + PEER_CALLS_WEIGHT * row.peerRequests();
+            double far = row.target().failureDomain().equals(here) ? 0 : FAR_COST;
+            return busy / Math.max(1, row.target().slots())
+                    + far
+                    + FAILURE_COST * row.failureShare(now)
+                    + FAR_COST * random.nextDouble() / 2;
+        });
+    }
+
+    /** Returns the engine for a generation. */
+    Optional<TargetRow> engine(ServiceSpec service, Generation generation, Set<TargetId> exclude) {
+        long now = timer.nanos();
+        double capacity = service.engine().orElseThrow().memoryTokens();
+        return least(usable(service.name(), exclude), row -> engineCost(row, capacity, generation, now));
+    }
+
+    private double engineCost(TargetRow row, double capacity, Generation generation, long now) {
+        double running = row.ownRequests() + row.peerRequests();
+        double memory = (row.ownTokens() + row.peerTokens() + generation.expectedMemory()) / capacity;
+        double far = row.target().failureDomain().equals(here) ? 0 : FAR_MS;
+        return row.unreadTokens() / READ_TOKENS_PER_MS
+                + NEIGHBOUR_MS * running
+                + OVERFLOW_MS * Math.max(0, memory - PLANNED_MEMORY)
+                + row.target().coldMs()
+                + OVERFLOW_MS / 10 * row.failureShare(now)
+                + far
+                + SPREAD_MS * random.nextDouble();
+    }
+
+    /** Returns the engine that keeps the copy of a generation: a near one with memory to spare, or none. */
+    Optional<TargetRow> backup(ServiceSpec service, Generation generation, TargetRow source) {
+        double capacity = service.engine().orElseThrow().memoryTokens();
+        long memory = generation.expectedMemory();
+        long now = timer.nanos();
+        FailureDomain near = source.target().failureDomain();
+        List<TargetRow> roomy = usable(service.name(), Set.of(source.target().id())).stream()
+                .filter(row -> !row.isSuspended(now))
+                .filter(row -> row.ownTokens() + row.peerTokens() + memory <= PLANNED_MEMORY * capacity)
+                .toList();
+        List<TargetRow> inDomain = roomy.stream()
+                .filter(row -> row.target().failureDomain().equals(near))
+                .toList();
+        return least(
+                inDomain.isEmpty() ? roomy : inDomain,
+                row -> row.ownTokens() + row.peerTokens() + random.nextDouble() * memory / 2);
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -0,0 +1,125 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.Objects;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import java.util.function.IntSupplier;
+
+import io.vertx.core.Future;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientOptions;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.PoolOptions;
+import io.vertx.core.http.RequestOptions;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.Step;
+import org.verbenatally.core.StepException;
+
+/**
+ * Sends requests to targets over kept connections. Methods wait and must run in a virtual-thread task. Failures are
+ * {@link StepException}s: {@code NOT_RUN} if nothing was sent, {@code UNKNOWN} otherwise.
+ */
+final class TargetClient {
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+    /** Connections that were idle for longer may have been closed by the target, which leaves a request unclear. */
+    private static final int KEEP_ALIVE_SECONDS = 2;
+
+    private static final int MAX_HEADER_BYTES = 16_384;
+    private static final int LEAST_CONNECTIONS = 8;
+
+    private final Vertx vertx;
+    private final IntSupplier members;
+    private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
+
+    TargetClient(Vertx vertx, IntSupplier members) {
+        this.vertx = Objects.requireNonNull(vertx, "vertx");
+        this.members = Objects.requireNonNull(members, "members");
+    }
+
+    private HttpClient client(ServiceSpec service) {
+        return clients.computeIfAbsent(service.name(), name -> {
+            int share = service.maxConnections() / Math.max(1, members.getAsInt());
+            return vertx.createHttpClient(
+                    new HttpClientOptions()
+                            .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                            .setMaxHeaderSize(MAX_HEADER_BYTES)
+                            .setKeepAlive(true)
+                            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                            .setDecompressionSupported(false)
+                            .setTcpNoDelay(true),
+                    new PoolOptions().setHttp1MaxSize(Math.max(LEAST_CONNECTIONS, share)));
+        });
+    }
+
+    /**
+     * Takes a connection for a request. Nothing is sent before {@link #send}.
+     *
+     * @throws StepException with outcome {@code NOT_RUN} if there is no connection in time
+     */
+    HttpClientRequest connect(ServiceSpec service, Address address, HttpMethod method, String uri, Duration limit) {
+        Future<HttpClientRequest> future = client(service)
+                .request(new RequestOptions()
+                        .setHost(address.host())
+                        .setPort(address.port())
+                        .setMethod(method)
+                        .setURI(uri))
+                // The futures of the exchange report failures; a request that is reset needs no second report.
+                .onSuccess(request -> request.exceptionHandler(e -> {}));
+        Duration wait = limit.compareTo(CONNECT_TIMEOUT) < 0 ? limit : CONNECT_TIMEOUT;
+        try {
+            return Waiting.await(future, wait);
+        } catch (TimeoutException e) {
+            future.onSuccess(HttpClientRequest::reset);
+            throw notSent(address, "no connection within " + wait.toMillis() + " ms", e);
+        } catch (Exception e) {
+            throw notSent(address, "no connection: " + e.getMessage(), e);
+        }
+    }
+
+    private static StepException notSent(Address address, String message, Exception cause) {
+        return new StepException(Step.CONNECT, address.toString(), Outcome.NOT_RUN, message, cause);
+    }
+
+    /**
+     * Sends a request and waits for the head of the answer, which is returned paused.
+     *
+     * @param onSent given the way to break the exchange off, as soon as the request is on its way
+     * @throws StepException with outcome {@code UNKNOWN} if no head arrives in time
+     */
+    HttpClientResponse send(HttpClientRequest request, Buffer body, Duration limit, Consumer<Runnable> onSent) {
+        Future<HttpClientResponse> answer = (body.length() == 0 && !mayHaveBody(request)
+                        ? request.send()
+                        : request.send(body))
+                .onSuccess(response -> response.exceptionHandler(e -> {}).pause());
+        onSent.accept(request::reset);
+        String peer = String.valueOf(request.connection().remoteAddress());
+        try {
+            return Waiting.await(answer, limit);
+        } catch (TimeoutException e) {
+            request.reset();
+            String message = "no answer within " + limit.toMillis() + " ms";
+            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, message, e);
+        } catch (Exception e) {
+            request.reset();
+            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "connection lost: " + e.getMessage(), e);
+        }
+    }
+
+    private static boolean mayHaveBody(HttpClientRequest request) {
+        HttpMethod method = request.getMethod();
+        return method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT) || method.equals(HttpMethod.PATCH);
+    }
+
+    void close() {
+        clients.values().forEach(HttpClient::close);
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/TargetOrder.java
@@ -0,0 +1,41 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+
+import org.verbenatally.core.Address;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.core.TargetId;
+
+/**
+ * What an instance adds to a request when it sends it to a target.
+ *
+ * @param target the only target that may run it
+ * @param timeLeft how long the answer is of use
+ * @param organisation organisation of the caller
+ * @param backup engine that keeps a copy of the generation up to date
+ * @param continuation where the generation goes on from, if it has begun at another engine
+ */
+public record TargetOrder(
+        TargetId target,
+        Duration timeLeft,
+        Optional<OrganisationId> organisation,
+        Optional<Address> backup,
+        Optional<Continuation> continuation) {
+
+    /**
+     * Where a generation goes on from.
+     *
+     * @param holder engine that holds the copy
+     * @param copy id of the copy there
+     * @param lastEvent id of the last event that the caller has got; empty if none
+     */
+    public record Continuation(Address holder, String copy, Optional<String> lastEvent) {}
+
+    /** Checks that the parts are there. */
+    public TargetOrder {
+        Objects.requireNonNull(target, "target");
+        Objects.requireNonNull(timeLeft, "timeLeft");
+    }
+}
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/package-info.java
@@ -0,0 +1,2 @@
+/** Forwards requests unchanged to targets: routing, attempts, delivery and graceful shutdown of one instance. */
+package org.verbenatally.forward;
