Continue generations at another engine when theirs leaves

Cause: a leaving engine's own booking stayed registered while the generation went on elsewhere, so a second notice of the same departure moved it again, to an engine whose copy was not there yet; generations without a kept copy had no way to leave. Change: one leg a time, closed before the next begins; the old engine goes on until the new one has accepted; without a kept copy the generation is copied on notice, then its rest. Conclusion: what is left: copies across failure domains take longer than the notice; few copies are kept.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -1,6 +1,7 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -74,7 +75,7 @@
             HttpClientResponse response = parts.client().send(request, r.body(), limit, caller::onGone);
             return new Attempt(row, request, response, parts.codec().read(response));
         } catch (StepException e) {
-            if (!caller.isGone()) {
+            if (!caller.isGone() && !(e.getCause() instanceof TimeoutException)) {
                 row.unreachable(parts.timer().nanos());
             }
             throw e;
--- a/forward/src/main/java/org/verbenatally/forward/Flight.java
+++ b/forward/src/main/java/org/verbenatally/forward/Flight.java
@@ -1,14 +1,17 @@
 package org.verbenatally.forward;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+
 import org.verbenatally.core.Address;
 
-/** One request on its way at a target, as the load of that target. End it once. */
+/** One request on its way at a target, as the load of that target. */
 final class Flight {
     private final TargetRow row;
     private final TargetRow backup;
     private final long memory;
     private final long promptTokens;
     private final Runnable onLeaving;
+    private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean reading = true;
 
     /**
@@ -62,6 +65,9 @@
     }
 
     void end() {
+        if (!ended.compareAndSet(false, true)) {
+            return;
+        }
         row.end(this);
         if (backup != null) {
             backup.dropCopy(memory);
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -0,0 +1,140 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import io.vertx.core.Context;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
+import org.jboss.logging.Logger;
+import org.verbenatally.core.LogEvent;
+import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
+import org.verbenatally.core.StepException;
+import org.verbenatally.core.TargetId;
+
+/**
+ * Copies a generation from an engine that is about to leave to another one while it runs, for generations of which no
+ * copy is kept. All methods must be called on the context of the request.
+ */
+final class StreamMover {
+    private static final Logger LOG = Logger.getLogger(StreamMover.class);
+    /** A leaving engine copies one generation after another, a few tenths of a second each. */
+    private static final Duration COPY_TIMEOUT = Duration.ofSeconds(3);
+    /** The rest since the first copy is a few tokens. */
+    private static final Duration REST_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Copies that are tried; engines without room refuse at once. */
+    private static final int MAX_TRIES = 6;
+
+    private static final int MAX_ANSWER_BYTES = 65_536;
+
+    private final ForwardParts parts;
+    private final ForwardedRequest r;
+    private final Generation generation;
+    private final Context context;
+    private TargetRow destination;
+    private String copy;
+    private boolean busy;
+    private int tries;
+
+    StreamMover(ForwardParts parts, ForwardedRequest r, Generation generation, Context context) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+        this.r = Objects.requireNonNull(r, "r");
+        this.generation = Objects.requireNonNull(generation, "generation");
+        this.context = Objects.requireNonNull(context, "context");
+    }
+
+    /** Forgets the copy, after the generation has gone on elsewhere. */
+    void reset() {
+        destination = null;
+        copy = null;
+    }
+
+    /** Tells whether a copy exists that lacks only the latest tokens. */
+    boolean hasCopy() {
+        return copy != null;
+    }
+
+    /** Returns the engine that holds the copy. */
+    TargetRow destination() {
+        return destination;
+    }
+
+    /** Returns the id of the copy. */
+    String copy() {
+        return copy;
+    }
+
+    /** Starts to copy while the generation runs, unless that has begun; the leg is signalled when it is done. */
+    void begin(StreamLeg leg) {
+        boolean able =
+                r.service().engine().filter(ServiceSpec.EngineTraits::copies).isPresent();
+        if (busy || copy != null || !able || tries >= MAX_TRIES) {
+            return;
+        }
+        Set<TargetId> exclude = Set.of(leg.row().target().id());
+        Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, exclude);
+        if (row.isEmpty()) {
+            return;
+        }
+        busy = true;
+        tries++;
+        context.runOnContext(v -> {
+            Optional<String> made = call(leg, row.get(), false, COPY_TIMEOUT);
+            busy = false;
+            if (made.isPresent()) {
+                destination = row.get();
+                copy = made.get();
+                leg.feed().signal();
+            }
+        });
+    }
+
+    /** Stops the generation and copies its rest; afterwards it can only go on from the copy. */
+    boolean finish(StreamLeg leg) {
+        return call(leg, destination, true, REST_TIMEOUT).isPresent();
+    }
+
+    private Optional<String> call(StreamLeg leg, TargetRow to, boolean last, Duration limit) {
+        CopyCall call = parts.codec().copy(r.id(), to.target().address(), last);
+        LogEvent event = LogEvent.of("stream.copied")
+                .request(r.id())
+                .with("from", leg.row().target().id())
+                .with("target", to.target().id())
+                .with("last", last);
+        long start = parts.timer().nanos();
+        try {
+            HttpClientRequest request =
+                    parts.client().connect(r.service(), leg.row().target().address(), call.method(), call.uri(), limit);
+            HttpClientResponse response = parts.client().send(request, call.body(), limit, reset -> {});
+            Optional<String> made = parts.codec().readCopy(response.statusCode(), body(request, response, limit));
+            event.with("status", response.statusCode())
+                    .with("ms", Duration.ofNanos(parts.timer().nanos() - start).toMillis())
+                    .info(LOG);
+            return made;
+        } catch (StepException e) {
+            event.with("step", e.step()).with("reason", e.getMessage()).info(LOG);
+            return Optional.empty();
+        }
+    }
+
+    private Buffer body(HttpClientRequest request, HttpClientResponse response, Duration limit) {
+        Buffer body = Buffer.buffer();
+        AnswerFeed feed = new AnswerFeed(response);
+        while (true) {
+            AnswerFeed.Item item = feed.next(limit);
+            if (item instanceof AnswerFeed.Piece piece && body.length() < MAX_ANSWER_BYTES) {
+                body.appendBuffer(piece.bytes());
+            } else if (item instanceof AnswerFeed.End) {
+                return body;
+            } else {
+                request.reset();
+                throw new StepException(Step.RESUME, r.id(), Outcome.UNKNOWN, "answer to the copy broke off: " + item);
+            }
+        }
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -9,6 +9,7 @@
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import org.jboss.logging.Logger;
+import org.verbenatally.core.Address;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.StepException;
@@ -16,7 +17,7 @@
 
 /**
  * The life of one generation: whole events are passed on as they arrive. If its engine leaves, dies or falls silent, it
- * goes on from the copy that another engine keeps.
+ * goes on from a copy at another engine.
  */
 final class StreamRun {
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
@@ -24,7 +25,7 @@
     /** Engines that may turn a generation away before it is refused. */
     private static final int MAX_SENDS = 3;
     /** Continuations of one generation; each needs an engine that is lost within its life. */
-    private static final int MAX_CONTINUATIONS = 6;
+    private static final int MAX_CONTINUATIONS = 8;
     /** A stream without an event for this many gap targets goes on elsewhere: its engine is dead or far too full. */
     private static final int SILENT_GAPS = 5;
     /** Generations that are expected to make fewer tokens end before a copy of them would be of use. */
@@ -34,24 +35,28 @@
     private static final Duration RETRY_AFTER = Duration.ofMillis(300);
     /** Gap target of routes that state none. */
     private static final Duration DEFAULT_GAP = Duration.ofMillis(500);
+    /** Longest wait for an engine to go on from a copy. */
+    private static final Duration CONTINUE_TIMEOUT = Duration.ofSeconds(2);
 
     private final ForwardParts parts;
     private final ForwardedRequest r;
     private final Generation generation;
     private final CallerExchange caller;
     private final Context context;
+    private final StreamMover mover;
     private final Set<TargetId> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
     private int sends;
     private int continuations;
-    private long eventsPassed;
-    private AnswerFeed feed;
-    private boolean moveWanted;
+    private long piecesPassed;
+    private StreamLeg leg;
+    /** The copy that was refused; it is not asked for again. */
+    private TargetRow refusedBackup;
 
     private enum End {
         WHOLE,
         BROKEN,
-        MOVE,
+        LEAVING,
         CALLER_LEFT,
         DEADLINE
     }
@@ -62,6 +67,7 @@
         this.generation = Objects.requireNonNull(generation, "generation");
         this.caller = Objects.requireNonNull(caller, "caller");
         this.context = Objects.requireNonNull(context, "context");
+        this.mover = new StreamMover(parts, r, generation, context);
     }
 
     /** Runs the generation to its end and returns its outcome, for logs and metrics. */
@@ -104,28 +110,47 @@
         Flight flight = book(row);
         try {
             sends++;
-            Attempt attempt = send(flight, Optional.empty());
+            Attempt attempt =
+                    send(flight, Optional.empty(), r.left(parts.timer().nanos()));
             if (attempt.head().notRun()) {
                 attempt.drop();
+                flight.end();
                 row.answered(true, parts.timer().nanos());
-                LogEvent.of("attempt.notRun")
-                        .request(r.id())
-                        .with("target", row.target().id())
-                        .with("status", attempt.head().status())
-                        .info(LOG);
+                logRefusal("attempt.notRun", row, attempt.head().status());
                 return Optional.empty();
             }
-            return Optional.of(deliver(attempt, flight));
+            if (attempt.head().isForeign(r.id())) {
+                attempt.drop();
+                flight.end();
+                return Optional.of(fail("answer belongs to another request"));
+            }
+            leg = new StreamLeg(flight, attempt);
         } catch (StepException e) {
             logFailure(row, e);
+            flight.end();
             if (e.outcome() == Outcome.NOT_RUN) {
                 sends--;
                 return Optional.empty();
             }
-            return Optional.of(caller.isGone() ? "caller left" : continueFrom(flight));
-        } finally {
-            flight.end();
+            if (caller.isGone()) {
+                return Optional.of("caller left");
+            }
+            Optional<StreamLeg> next = continueAt(flight.backup(), r.id(), flight.backup());
+            if (next.isEmpty()) {
+                return Optional.of(fail("engine lost"));
+            }
+            leg = next.get();
         }
+        caller.begin(leg.attempt().response());
+        return Optional.of(deliver());
+    }
+
+    private void logRefusal(String event, TargetRow row, int status) {
+        LogEvent.of(event)
+                .request(r.id())
+                .with("target", row.target().id())
+                .with("status", status)
+                .info(LOG);
     }
 
     private void logFailure(TargetRow row, StepException e) {
@@ -149,99 +174,95 @@
                 backup,
                 generation.expectedMemory(),
                 generation.promptTokens(),
-                () -> context.runOnContext(v -> wantMove()));
+                () -> context.runOnContext(v -> wake()));
     }
 
-    private void wantMove() {
-        moveWanted = true;
-        if (feed != null) {
-            feed.signal();
+    private void wake() {
+        if (leg != null) {
+            leg.feed().signal();
         }
     }
 
-    private Attempt send(Flight flight, Optional<TargetOrder.Continuation> continuation) {
-        Duration left = r.left(parts.timer().nanos());
+    private Attempt send(Flight flight, Optional<TargetOrder.Continuation> continuation, Duration limit) {
         var order = new TargetOrder(
                 flight.row().target().id(),
-                left,
+                r.left(parts.timer().nanos()),
                 r.organisation(),
                 Optional.ofNullable(flight.backup()).map(b -> b.target().address()),
                 continuation);
-        return Attempt.start(parts, r, caller, flight.row(), order, left);
+        return Attempt.start(parts, r, caller, flight.row(), order, limit);
     }
 
-    /** Passes on the answer of an engine; continues elsewhere if it does not end. */
-    private String deliver(Attempt attempt, Flight flight) {
-        AnswerHead head = attempt.head();
-        if (head.isForeign(r.id())) {
-            attempt.drop();
-            return fail("answer belongs to another request");
-        }
-        if (!caller.hasBegun()) {
-            caller.begin(attempt.response());
-        }
-        moveWanted = parts.directory().isLeaving(flight.row());
-        End end = relay(attempt, flight);
-        feed = null;
-        switch (end) {
-            case WHOLE -> {
-                flight.row().answered(head.isServerError(), parts.timer().nanos());
-                caller.end();
-                return head.isSuccess() ? "served" : "target failed";
-            }
-            case CALLER_LEFT -> {
-                attempt.drop();
-                return "caller left";
-            }
-            case DEADLINE -> {
-                attempt.drop();
-                return fail("deadline");
-            }
-            default -> {
-                attempt.drop();
-                if (end == End.BROKEN) {
-                    flight.row().unreachable(parts.timer().nanos());
+    /** Passes on the events of one engine after the other until the generation ends. */
+    private String deliver() {
+        while (true) {
+            End end = relay();
+            switch (end) {
+                case WHOLE -> {
+                    AnswerHead head = leg.attempt().head();
+                    leg.row().answered(head.isServerError(), parts.timer().nanos());
+                    leg.close(true);
+                    caller.end();
+                    return head.isSuccess() ? "served" : "target failed";
                 }
-                if (!head.isSuccess()) {
-                    return fail("answer broke off");
+                case CALLER_LEFT -> {
+                    leg.close(false);
+                    return "caller left";
+                }
+                case DEADLINE -> {
+                    leg.close(false);
+                    return fail("deadline");
+                }
+                case LEAVING -> leaveEngine();
+                case BROKEN -> {
+                    leg.row().unreachable(parts.timer().nanos());
+                    leg.close(false);
+                    Optional<StreamLeg> next = leg.attempt().head().isSuccess() ? recover() : Optional.empty();
+                    if (next.isEmpty()) {
+                        return fail("engine lost");
+                    }
+                    leg = next.get();
                 }
-                return continueFrom(flight);
+                default -> throw new IllegalStateException("unexpected end " + end);
             }
         }
     }
 
-    private End relay(Attempt attempt, Flight flight) {
-        feed = new AnswerFeed(attempt.response());
+    private End relay() {
         Duration gap = r.route().gapTarget().orElse(DEFAULT_GAP);
         Duration silence = gap.multipliedBy(SILENT_GAPS);
         while (true) {
             if (caller.isGone()) {
                 return End.CALLER_LEFT;
             }
-            if (moveWanted && flight.backup() != null) {
-                moveWanted = false;
-                if (isUsable(flight.backup())) {
-                    return End.MOVE;
-                }
+            if (parts.directory().isLeaving(leg.row()) && mayLeave()) {
+                return End.LEAVING;
             }
             Duration left = r.left(parts.timer().nanos());
             if (left.isNegative()) {
                 return End.DEADLINE;
             }
-            boolean mayMove = eventsPassed > 0 && flight.backup() != null;
-            AnswerFeed.Item item = feed.next(mayMove && silence.compareTo(left) < 0 ? silence : left);
+            boolean watched = piecesPassed > 0 && isUsable(leg.flight().backup());
+            AnswerFeed.Item item = leg.feed().next(watched && silence.compareTo(left) < 0 ? silence : left);
             switch (item) {
-                case AnswerFeed.Piece piece -> pass(piece.bytes(), flight);
+                case AnswerFeed.Piece piece -> pass(piece.bytes());
                 case AnswerFeed.End e -> {
-                    return events.hasRest() ? End.BROKEN : End.WHOLE;
+                    if (!events.hasRest()) {
+                        return End.WHOLE;
+                    }
+                    logBreak("ended within an event");
+                    return End.BROKEN;
                 }
                 case AnswerFeed.Broken b -> {
-                    logBreak(flight, b.reason());
+                    if (caller.isGone()) {
+                        return End.CALLER_LEFT;
+                    }
+                    logBreak(b.reason());
                     return End.BROKEN;
                 }
                 case AnswerFeed.Silent s -> {
-                    if (mayMove && isUsable(flight.backup())) {
-                        logBreak(flight, "silent");
+                    if (watched) {
+                        logBreak("silent");
                         return End.BROKEN;
                     }
                 }
@@ -250,64 +271,125 @@
         }
     }
 
+    /** Tells whether there is a way to leave the engine now; starts to copy the generation if there is none. */
+    private boolean mayLeave() {
+        boolean kept =
+                leg.flight().backup() != refusedBackup && isUsable(leg.flight().backup());
+        if (kept || mover.hasCopy()) {
+            return true;
+        }
+        if (isWorthMoving()) {
+            mover.begin(leg);
+        }
+        return false;
+    }
+
+    private boolean isWorthMoving() {
+        return generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
+    }
+
     private boolean isUsable(TargetRow row) {
-        return !parts.directory().isLeaving(row)
+        return row != null
+                && !parts.directory().isLeaving(row)
                 && !row.isSuspended(parts.timer().nanos());
     }
 
-    private void logBreak(Flight flight, String reason) {
+    private void logBreak(String reason) {
         LogEvent.of("stream.broken")
                 .request(r.id())
-                .with("target", flight.row().target().id())
+                .with("target", leg.row().target().id())
                 .with("reason", reason)
-                .with("pieces", eventsPassed)
+                .with("pieces", piecesPassed)
                 .info(LOG);
     }
 
-    private void pass(Buffer bytes, Flight flight) {
+    private void pass(Buffer bytes) {
         Buffer whole = events.take(bytes);
         if (whole.length() > 0) {
-            flight.firstEvent();
-            eventsPassed++;
+            leg.flight().firstEvent();
+            piecesPassed++;
             caller.write(whole);
         }
     }
 
-    /** Goes on at the engine that keeps the copy of a generation whose engine is lost. */
-    private String continueFrom(Flight lost) {
-        events.dropRest();
-        TargetRow holder = lost.backup();
-        boolean possible = holder != null && continuations < MAX_CONTINUATIONS && !caller.isGone();
-        if (!possible) {
-            return fail("engine lost");
+    /** Goes on elsewhere while the engine that leaves still runs the generation; stays if that is not possible. */
+    private void leaveEngine() {
+        TargetRow backup = leg.flight().backup();
+        Optional<StreamLeg> next;
+        if (backup != refusedBackup && isUsable(backup)) {
+            next = continueAt(backup, r.id(), backup);
+            if (next.isEmpty()) {
+                refusedBackup = backup;
+                return;
+            }
+        } else {
+            if (!mover.finish(leg)) {
+                // If the generation has stopped all the same, its stream breaks off, which ends this leg.
+                mover.reset();
+                return;
+            }
+            next = continueAt(mover.destination(), mover.copy(), leg.row());
+        }
+        StreamLeg before = leg;
+        before.close(false);
+        if (next.isPresent()) {
+            leg = next.get();
+            mover.reset();
+        }
+    }
+
+    /** Goes on after the engine was lost. */
+    private Optional<StreamLeg> recover() {
+        TargetRow lost = leg.row();
+        Optional<StreamLeg> next = Optional.empty();
+        if (mover.hasCopy()) {
+            next = continueAt(mover.destination(), mover.copy(), lost);
+            mover.reset();
+        }
+        TargetRow backup = leg.flight().backup();
+        if (next.isEmpty() && backup != null && backup != refusedBackup) {
+            next = continueAt(backup, r.id(), backup);
+        }
+        return next;
+    }
+
+    /**
+     * Sends the request to the engine that holds a copy of the generation.
+     *
+     * @param row the engine, or {@code null} if there is none
+     * @param copy id of the copy
+     * @param keeper engine that the id refers to
+     */
+    private Optional<StreamLeg> continueAt(TargetRow row, String copy, TargetRow keeper) {
+        if (row == null || continuations >= MAX_CONTINUATIONS || caller.isGone()) {
+            return Optional.empty();
         }
         continuations++;
-        parts.metrics().count("continued");
-        Flight flight = book(holder);
+        Flight flight = book(row);
+        Address address = keeper.target().address();
         try {
-            var continuation = new TargetOrder.Continuation(holder.target().address(), r.id(), events.lastId());
-            Attempt attempt = send(flight, Optional.of(continuation));
-            if (attempt.head().notRun() || !attempt.head().isSuccess()) {
+            var continuation = new TargetOrder.Continuation(address, copy, events.lastId());
+            Attempt attempt = send(flight, Optional.of(continuation), CONTINUE_TIMEOUT);
+            AnswerHead head = attempt.head();
+            if (head.notRun() || !head.isSuccess() || head.isForeign(r.id())) {
                 attempt.drop();
-                LogEvent.of("stream.copyMissing")
-                        .request(r.id())
-                        .with("target", holder.target().id())
-                        .with("status", attempt.head().status())
-                        .info(LOG);
-                return fail("copy missing");
+                flight.end();
+                logRefusal("stream.copyRefused", row, head.status());
+                return Optional.empty();
             }
+            parts.metrics().count("continued");
             LogEvent.of("stream.continued")
                     .request(r.id())
-                    .with("from", lost.row().target().id())
-                    .with("target", holder.target().id())
+                    .with("target", row.target().id())
                     .with("lastEvent", events.lastId().orElse(""))
                     .info(LOG);
-            return deliver(attempt, flight);
+            events.dropRest();
+            refusedBackup = null;
+            return Optional.of(new StreamLeg(flight, attempt));
         } catch (StepException e) {
-            logFailure(holder, e);
-            return fail("copy unreachable");
-        } finally {
+            logFailure(row, e);
             flight.end();
+            return Optional.empty();
         }
     }
 
@@ -317,7 +399,7 @@
                 .request(r.id())
                 .with("reason", reason)
                 .with("sends", sends)
-                .with("pieces", eventsPassed)
+                .with("pieces", piecesPassed)
                 .info(LOG);
         if (caller.hasBegun()) {
             caller.abort();
--- a/forward/src/main/java/org/verbenatally/forward/WireCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/WireCodec.java
@@ -1,8 +1,12 @@
 package org.verbenatally.forward;
 
+import java.util.Optional;
+
 import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpServerRequest;
+import org.verbenatally.core.Address;
 
 /**
  * Translates between heads of HTTP messages and what an instance decides on. Headers that no method mentions are
@@ -22,4 +26,16 @@
 
     /** Reads the head of a target's answer. */
     AnswerHead read(HttpClientResponse answer);
+
+    /**
+     * Returns the call that copies a generation to another engine.
+     *
+     * @param requestId request that the generation answers
+     * @param destination engine that gets the copy
+     * @param last whether the generation is to stop first, so that the copy is complete
+     */
+    CopyCall copy(String requestId, Address destination, boolean last);
+
+    /** Returns the id of a copy from the answer to such a call, or empty if there is none. */
+    Optional<String> readCopy(int status, Buffer body);
 }
