Keep standing copies only while memory is ample, finish copies after all first ones

Cause: two copies of every generation need more than the engines' memory, so that new generations waited for seconds and running ones were read again; the rest of a copy queued behind the first copies of its neighbours, with the generation stopped; choices were made on loads of peers that were half a second old. Change: a generation is planned with its mean memory; standing copies up to 0.6 of an engine's memory; copies go to the failure domain of their source; the rest is copied when all first copies should be through; peers are told of a new generation at once, with the prompt tokens that are not read yet. Generations sent just before a notice wait at a leaving engine (open).

--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -82,7 +82,7 @@
     /** Sends the request once; returns the outcome if that decides it. */
     private Optional<String> attempt(TargetRow row, Duration left) {
         tried.add(row.target().id());
-        Flight flight = new Flight(row, null, 0, 0, () -> {});
+        Flight flight = new Flight(row, null, null, () -> {});
         try {
             sends++;
             var order = new TargetOrder(row.target().id(), left, r.organisation(), Optional.empty(), Optional.empty());
--- a/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
+++ b/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
@@ -17,6 +17,7 @@
 
     private Buffer rest = Buffer.buffer();
     private String lastId;
+    private long count;
 
     /**
      * Takes the next bytes and returns the events that are whole now, empty if none is.
@@ -54,6 +55,7 @@
         for (int i = 0; i < whole.length(); i++) {
             if (whole.getByte(i) == '\n') {
                 if (startsWithId(whole, start, i)) {
+                    count++;
                     lastId = whole.getString(start + ID.length, i, "UTF-8").strip();
                 }
                 start = i + 1;
@@ -78,6 +80,11 @@
         return Optional.ofNullable(lastId);
     }
 
+    /** Returns the number of whole events that have an id. */
+    long count() {
+        return count;
+    }
+
     /** Tells whether bytes of an event are left that has not ended. */
     boolean hasRest() {
         return rest.length() > 0;
--- a/forward/src/main/java/org/verbenatally/forward/Flight.java
+++ b/forward/src/main/java/org/verbenatally/forward/Flight.java
@@ -2,36 +2,32 @@
 
 import java.util.concurrent.atomic.AtomicBoolean;
 
-import org.verbenatally.core.Address;
-
 /** One request on its way at a target, as the load of that target. */
 final class Flight {
     private final TargetRow row;
     private final TargetRow backup;
-    private final long memory;
-    private final long promptTokens;
+    private final Generation generation;
     private final Runnable onLeaving;
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean reading = true;
+    private volatile long made;
 
     /**
      * Creates a flight and books it.
      *
      * @param row where it runs
      * @param backup engine that keeps a copy, or {@code null}
-     * @param memory memory that it is expected to need, in tokens; 0 at a plain service
-     * @param promptTokens tokens that are read before its first event
+     * @param generation the generation that it makes, or {@code null} at a plain service
      * @param onLeaving told when the target is known to leave
      */
-    Flight(TargetRow row, TargetRow backup, long memory, long promptTokens, Runnable onLeaving) {
+    Flight(TargetRow row, TargetRow backup, Generation generation, Runnable onLeaving) {
         this.row = row;
         this.backup = backup;
-        this.memory = memory;
-        this.promptTokens = promptTokens;
+        this.generation = generation;
         this.onLeaving = onLeaving;
         row.begin(this);
         if (backup != null) {
-            backup.keepCopy(memory);
+            backup.keepCopy(this);
         }
     }
 
@@ -43,21 +39,20 @@
         return backup;
     }
 
-    Address backupAddress() {
-        return backup.target().address();
-    }
-
+    /** Returns the memory that it is expected to need, in tokens. */
     long memory() {
-        return memory;
+        return generation == null ? 0 : generation.expectedMemory(made);
     }
 
     /** Returns the tokens of the prompt that may still have to be read. */
     long unreadTokens() {
-        return reading ? promptTokens : 0;
+        return reading && generation != null ? generation.promptTokens() : 0;
     }
 
-    void firstEvent() {
+    /** Notes the tokens made so far, once there are any. */
+    void made(long tokens) {
         reading = false;
+        made = tokens;
     }
 
     void targetLeaves() {
@@ -70,7 +65,7 @@
         }
         row.end(this);
         if (backup != null) {
-            backup.dropCopy(memory);
+            backup.dropCopy(this);
         }
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
@@ -12,6 +12,7 @@
  * @param codec translates heads
  * @param repeats bounds repeated sends
  * @param metrics counters
+ * @param tellPeers sends the load of this instance to its peers soon
  */
 record ForwardParts(
         TimerService timer,
@@ -20,4 +21,5 @@
         TargetClient client,
         WireCodec codec,
         RepeatAllowance repeats,
-        ForwardMetrics metrics) {}
+        ForwardMetrics metrics,
+        Runnable tellPeers) {}
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -1,9 +1,11 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Context;
 import io.vertx.core.DeploymentOptions;
@@ -33,6 +35,8 @@
     private static final int IDLE_SECONDS = 120;
 
     private static final int OK = 200;
+    /** Loads of generations that start together are told in one frame; choices of peers are a few a second. */
+    private static final Duration PUSH_DELAY = Duration.ofMillis(5);
 
     private final ForwardOptions options;
     private final Vertx vertx;
@@ -42,6 +46,7 @@
     private final ForwardMetrics metrics = new ForwardMetrics();
     private final Shutdown shutdown;
     private final ForwardParts parts;
+    private final AtomicBoolean pushPlanned = new AtomicBoolean();
     private volatile Peers<ForwardDeployment> peers;
 
     /**
@@ -65,7 +70,8 @@
                 new TargetClient(vertx, this::liveMembers),
                 codec,
                 new RepeatAllowance(timer, options.repeats(), this::liveMembers),
-                metrics);
+                metrics,
+                this::pushSoon);
         metrics.gauge("verbenatally.open.requests", shutdown::open);
         metrics.gauge(
                 "verbenatally.config.version",
@@ -80,6 +86,16 @@
         }
     }
 
+    /** Sends what changed within a short time in one frame. */
+    private void pushSoon() {
+        if (pushPlanned.compareAndSet(false, true)) {
+            timer.after(PUSH_DELAY, () -> {
+                pushPlanned.set(false);
+                pushToPeers();
+            });
+        }
+    }
+
     private int liveMembers() {
         Peers<ForwardDeployment> p = peers;
         return p == null
--- a/forward/src/main/java/org/verbenatally/forward/Generation.java
+++ b/forward/src/main/java/org/verbenatally/forward/Generation.java
@@ -14,8 +14,24 @@
     /** Stands for a generation whose caller tells nothing about it. */
     static final Generation UNKNOWN = new Generation(1_000, 1_000, OptionalLong.empty());
 
-    /** Returns the memory that the generation is expected to hold at its end, in tokens. */
-    long expectedMemory() {
-        return promptTokens + Math.min(maxTokens, expectedTokens.orElse(maxTokens / 2));
+    /**
+     * Returns the tokens that the generation is expected to make yet. One that has outgrown the estimate is likely to
+     * go on for about half as long again.
+     *
+     * @param made tokens made so far
+     */
+    long expectedRest(long made) {
+        long expected = Math.min(maxTokens, expectedTokens.orElse(maxTokens / 2));
+        return Math.min(made < expected ? expected - made : made / 2, Math.max(0, maxTokens - made));
+    }
+
+    /**
+     * Returns the memory that the generation needs on average until its end, in tokens. Generations of one engine end
+     * at different times, so planning for the end of each would leave much of the memory unused.
+     *
+     * @param made tokens made so far
+     */
+    long expectedMemory(long made) {
+        return promptTokens + made + expectedRest(made) / 2;
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
@@ -14,7 +13,6 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
-import org.verbenatally.core.TargetId;
 
 /**
  * Copies a generation from an engine that is about to leave to another one while it runs, for generations of which no
@@ -24,6 +22,8 @@
     private static final Logger LOG = Logger.getLogger(StreamMover.class);
     /** A leaving engine copies one generation after another, a few tenths of a second each. */
     private static final Duration COPY_TIMEOUT = Duration.ofSeconds(3);
+    /** Engines are taken away within about two seconds; the rest is copied before, whatever is still queued. */
+    private static final Duration LATEST_FINISH = Duration.ofMillis(1_100);
     /** The rest since the first copy is a few tokens. */
     private static final Duration REST_TIMEOUT = Duration.ofSeconds(1);
 
@@ -39,6 +39,7 @@
     private TargetRow destination;
     private String copy;
     private boolean busy;
+    private long finishNanos;
     private int tries;
 
     StreamMover(ForwardParts parts, ForwardedRequest r, Generation generation, Context context) {
@@ -59,6 +60,11 @@
         return copy != null;
     }
 
+    /** Tells whether the rest can be copied soon: the first copies of all generations are through by now. */
+    boolean mayFinish() {
+        return copy != null && parts.timer().nanos() - finishNanos >= 0;
+    }
+
     /** Returns the engine that holds the copy. */
     TargetRow destination() {
         return destination;
@@ -76,20 +82,26 @@
         if (busy || copy != null || !able || tries >= MAX_TRIES) {
             return;
         }
-        Set<TargetId> exclude = Set.of(leg.row().target().id());
-        Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, exclude);
+        Optional<TargetRow> row =
+                parts.chooser().copyHolder(r.service(), generation, leg.row(), TargetChooser.PLANNED_MEMORY);
         if (row.isEmpty()) {
             return;
         }
         busy = true;
         tries++;
+        long queued = leg.row().ownTokens() + leg.row().peerTokens();
+        Duration all = r.service().engine().orElseThrow().transferTime(queued);
+        finishNanos = parts.timer().nanos() + (all.compareTo(LATEST_FINISH) < 0 ? all : LATEST_FINISH).toNanos();
         context.runOnContext(v -> {
             Optional<String> made = call(leg, row.get(), false, COPY_TIMEOUT);
             busy = false;
             if (made.isPresent()) {
                 destination = row.get();
                 copy = made.get();
-                leg.feed().signal();
+                Duration wait =
+                        Duration.ofNanos(Math.max(1, finishNanos - parts.timer().nanos()));
+                parts.timer()
+                        .after(wait, () -> context.runOnContext(w -> leg.feed().signal()));
             }
         });
     }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
@@ -49,6 +50,9 @@
     private int sends;
     private int continuations;
     private long piecesPassed;
+    private long firstPieceNanos;
+    private long lastPieceNanos;
+    private long longestGapNanos;
     private StreamLeg leg;
     /** The copy that was refused; it is not asked for again. */
     private TargetRow refusedBackup;
@@ -72,6 +76,19 @@
 
     /** Runs the generation to its end and returns its outcome, for logs and metrics. */
     String run() {
+        long start = parts.timer().nanos();
+        String outcome = serve();
+        LogEvent.of("stream.ended")
+                .request(r.id())
+                .with("firstMs", piecesPassed == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstPieceNanos - start))
+                .with("longestGapMs", TimeUnit.NANOSECONDS.toMillis(longestGapNanos))
+                .with("events", events.count())
+                .with("continuations", continuations)
+                .info(LOG);
+        return outcome;
+    }
+
+    private String serve() {
         while (!caller.isGone()) {
             if (r.left(parts.timer().nanos()).compareTo(LEAST_TIME) < 0) {
                 return refuse("deadline");
@@ -167,14 +184,14 @@
         boolean copied =
                 r.service().engine().filter(ServiceSpec.EngineTraits::backups).isPresent()
                         && generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
-        TargetRow backup =
-                copied ? parts.chooser().backup(r.service(), generation, row).orElse(null) : null;
-        return new Flight(
-                row,
-                backup,
-                generation.expectedMemory(),
-                generation.promptTokens(),
-                () -> context.runOnContext(v -> wake()));
+        TargetRow backup = copied
+                ? parts.chooser()
+                        .copyHolder(r.service(), generation, row, TargetChooser.STANDING_COPIES)
+                        .orElse(null)
+                : null;
+        Flight flight = new Flight(row, backup, generation, () -> context.runOnContext(v -> wake()));
+        parts.tellPeers().run();
+        return flight;
     }
 
     private void wake() {
@@ -275,7 +292,7 @@
     private boolean mayLeave() {
         boolean kept =
                 leg.flight().backup() != refusedBackup && isUsable(leg.flight().backup());
-        if (kept || mover.hasCopy()) {
+        if (kept || mover.mayFinish()) {
             return true;
         }
         if (isWorthMoving()) {
@@ -306,8 +323,13 @@
     private void pass(Buffer bytes) {
         Buffer whole = events.take(bytes);
         if (whole.length() > 0) {
-            leg.flight().firstEvent();
+            long now = parts.timer().nanos();
+            longestGapNanos = piecesPassed == 0 ? 0 : Math.max(longestGapNanos, now - lastPieceNanos);
+            firstPieceNanos = piecesPassed == 0 ? now : firstPieceNanos;
+            lastPieceNanos = now;
             piecesPassed++;
+            leg.flight()
+                    .made(events.count() * r.service().engine().orElseThrow().tokensPerEvent());
             caller.write(whole);
         }
     }
--- a/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
@@ -22,12 +22,14 @@
     private static final double FAILURE_COST = 4;
     /** Peers' counts are half a second old; short calls among them have mostly ended. */
     private static final double PEER_CALLS_WEIGHT = 0.25;
-    /** Prompt tokens that an engine reads in a millisecond; only the ratio to the costs below matters. */
-    private static final double READ_TOKENS_PER_MS = 10;
+    /** Prompt tokens that an engine reads in a millisecond beside a running batch; sets the scale of the costs. */
+    private static final double READ_TOKENS_PER_MS = 7;
     /** What each running generation adds to the time of the steps that a new one waits for, in milliseconds. */
     private static final double NEIGHBOUR_MS = 3;
     /** Share of an engine's memory that is planned for; beyond it generations may be interrupted and read again. */
-    private static final double PLANNED_MEMORY = 0.92;
+    static final double PLANNED_MEMORY = 0.92;
+    /** Share of an engine's memory up to which it keeps copies that nobody needs yet. */
+    static final double STANDING_COPIES = 0.6;
     /** Cost of planning beyond the memory, in milliseconds for the whole memory. */
     private static final double OVERFLOW_MS = 20_000;
     /** Cost of an engine in another failure domain, in milliseconds. */
@@ -87,9 +89,9 @@
 
     private double engineCost(TargetRow row, double capacity, Generation generation, long now) {
         double running = row.ownRequests() + row.peerRequests();
-        double memory = (row.ownTokens() + row.peerTokens() + generation.expectedMemory()) / capacity;
+        double memory = (row.ownTokens() + row.peerTokens() + generation.expectedMemory(0)) / capacity;
         double far = row.target().failureDomain().equals(here) ? 0 : FAR_MS;
-        return row.unreadTokens() / READ_TOKENS_PER_MS
+        return (row.unreadTokens() + row.peerUnreadTokens()) / READ_TOKENS_PER_MS
                 + NEIGHBOUR_MS * running
                 + OVERFLOW_MS * Math.max(0, memory - PLANNED_MEMORY)
                 + row.target().coldMs()
@@ -98,15 +100,18 @@
                 + SPREAD_MS * random.nextDouble();
     }
 
-    /** Returns the engine that keeps the copy of a generation: a near one with memory to spare, or none. */
-    Optional<TargetRow> backup(ServiceSpec service, Generation generation, TargetRow source) {
+    /**
+     * Returns the engine that gets a copy of a generation, with memory to spare: one in the failure domain of its
+     * source if there is one, since a copy to another one takes twice as long.
+     */
+    Optional<TargetRow> copyHolder(ServiceSpec service, Generation generation, TargetRow source, double share) {
         double capacity = service.engine().orElseThrow().memoryTokens();
-        long memory = generation.expectedMemory();
+        long memory = generation.expectedMemory(0);
         long now = timer.nanos();
         FailureDomain near = source.target().failureDomain();
         List<TargetRow> roomy = usable(service.name(), Set.of(source.target().id())).stream()
                 .filter(row -> !row.isSuspended(now))
-                .filter(row -> row.ownTokens() + row.peerTokens() + memory <= PLANNED_MEMORY * capacity)
+                .filter(row -> row.ownTokens() + row.peerTokens() + memory <= share * capacity)
                 .toList();
         List<TargetRow> inDomain = roomy.stream()
                 .filter(row -> row.target().failureDomain().equals(near))
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -198,7 +198,8 @@
     synchronized List<TargetLoad> ownLoads() {
         return rows.values().stream()
                 .filter(row -> row.ownRequests() > 0 || row.ownTokens() > 0)
-                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens()))
+                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens())
+                        .setUnreadTokens(row.unreadTokens()))
                 .toList();
     }
 
@@ -211,7 +212,8 @@
             if (load == null) {
                 row.forgetPeer(peer);
             } else {
-                row.peerLoad(peer, new TargetRow.PeerLoad(load.getRequests(), load.getTokens()));
+                row.peerLoad(
+                        peer, new TargetRow.PeerLoad(load.getRequests(), load.getTokens(), load.getUnreadTokens()));
             }
         });
     }
--- a/forward/src/main/java/org/verbenatally/forward/TargetRow.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetRow.java
@@ -7,7 +7,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 
 import org.verbenatally.core.InstanceId;
 
@@ -25,7 +24,7 @@
     private volatile ForwardTarget target;
     private volatile boolean withdrawn;
     private final Set<Flight> flights = ConcurrentHashMap.newKeySet();
-    private final AtomicLong copies = new AtomicLong();
+    private final Set<Flight> copies = ConcurrentHashMap.newKeySet();
     private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
     private long suspendedUntil;
     private boolean suspended;
@@ -38,8 +37,9 @@
      *
      * @param requests requests on their way
      * @param tokens memory that they are expected to need, in tokens
+     * @param unreadTokens prompt tokens among them that the target has probably not read yet
      */
-    record PeerLoad(int requests, long tokens) {}
+    record PeerLoad(int requests, long tokens, long unreadTokens) {}
 
     TargetRow(ForwardTarget target) {
         this.target = target;
@@ -74,12 +74,12 @@
         flights.remove(flight);
     }
 
-    void keepCopy(long tokens) {
-        copies.addAndGet(tokens);
+    void keepCopy(Flight flight) {
+        copies.add(flight);
     }
 
-    void dropCopy(long tokens) {
-        copies.addAndGet(-tokens);
+    void dropCopy(Flight flight) {
+        copies.remove(flight);
     }
 
     List<Flight> flights() {
@@ -91,7 +91,8 @@
     }
 
     long ownTokens() {
-        return flights.stream().mapToLong(Flight::memory).sum() + copies.get();
+        return flights.stream().mapToLong(Flight::memory).sum()
+                + copies.stream().mapToLong(Flight::memory).sum();
     }
 
     long unreadTokens() {
@@ -114,6 +115,10 @@
         return peers.values().stream().mapToLong(PeerLoad::tokens).sum();
     }
 
+    synchronized long peerUnreadTokens() {
+        return peers.values().stream().mapToLong(PeerLoad::unreadTokens).sum();
+    }
+
     /** The target could not be reached, or fell silent. */
     synchronized void unreachable(long now) {
         suspended = true;
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -53,7 +53,9 @@
 struct TargetLoad {
   1: required string target,
   2: required i32 requests,
-  3: required i64 tokens
+  3: required i64 tokens,
+  /** Prompt tokens among them that the target has probably not read yet; absent: none. */
+  4: optional i64 unreadTokens
 }
 
 /** A request fingerprint that was running when a target died. */
