Take no answer for whole whose connection was reset

Change: failures of connections are noted from their start on, and such an answer is checked shortly after its end. Before / after: ForwardServerTest.resetAnswerWithoutLengthIsNotWhole, 60 answers reset at once or a little later: failed with the old code -> passes.

--- a/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
+++ b/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
@@ -39,7 +39,6 @@
     private final HttpClientResponse response;
     private Promise<Void> arrived;
     private boolean ended;
-    private boolean reset;
     private boolean signalled;
 
     AnswerFeed(HttpClientResponse response) {
@@ -51,9 +50,7 @@
             }
         });
         response.exceptionHandler(e -> end(new Broken(String.valueOf(e.getMessage()))));
-        // A body without a length ends with its connection; a reset one must not look like its end.
-        response.request().connection().exceptionHandler(e -> reset = true);
-        response.endHandler(v -> end(reset ? new Broken("connection reset") : new End()));
+        response.endHandler(v -> end(new End()));
         response.resume();
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -168,7 +168,7 @@
             AnswerFeed.Item item = feed.next(r.left(parts.timer().nanos()));
             if (item instanceof AnswerFeed.Piece piece && body.length() < MAX_ANSWER_BYTES) {
                 body.appendBuffer(piece.bytes());
-            } else if (item instanceof AnswerFeed.End) {
+            } else if (item instanceof AnswerFeed.End && !parts.client().isDoubtful(attempt.response())) {
                 return body;
             } else {
                 attempt.drop();
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -73,9 +73,7 @@
                 metrics,
                 this::pushSoon);
         metrics.gauge("verbenatally.open.requests", shutdown::open);
-        metrics.gauge(
-                "verbenatally.config.version",
-                () -> config.deployment().map(d -> d.version().value()).orElse(0L));
+        metrics.gauge("verbenatally.config.version", this::version);
         metrics.gauge("verbenatally.members", this::liveMembers);
     }
 
@@ -140,6 +138,11 @@
         return peers.offerConfig(source, body);
     }
 
+    /** Returns the version of the configuration in force, 0 if there is none. */
+    long version() {
+        return config.deployment().map(d -> d.version().value()).orElse(0L);
+    }
+
     /** Returns the targets. */
     public TargetDirectory directory() {
         return directory;
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -264,7 +264,8 @@
             switch (item) {
                 case AnswerFeed.Piece piece -> pass(piece.bytes());
                 case AnswerFeed.End e -> {
-                    if (!events.hasRest()) {
+                    if (!events.hasRest()
+                            && !parts.client().isDoubtful(leg.attempt().response())) {
                         return End.WHOLE;
                     }
                     logBreak("ended within an event");
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -1,20 +1,27 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.Collections;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import io.vertx.core.Future;
+import io.vertx.core.MultiMap;
+import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
+import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -33,11 +40,18 @@
     /** Connections that were idle for longer may have been closed by the target, which leaves a request unclear. */
     private static final int KEEP_ALIVE_SECONDS = 2;
 
+    /** The failure of a connection is handed over within this time of its end. */
+    private static final Duration FAILURE_REPORT = Duration.ofMillis(5);
+
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int LEAST_CONNECTIONS = 8;
 
     private final Vertx vertx;
     private final IntSupplier members;
+    /** Connections that failed; kept only as long as somebody may ask. */
+    private final Set<HttpConnection> failed =
+            Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
+
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
 
     TargetClient(Vertx vertx, IntSupplier members) {
@@ -48,15 +62,17 @@
     private HttpClient client(ServiceSpec service) {
         return clients.computeIfAbsent(service.name(), name -> {
             int share = service.maxConnections() / Math.max(1, members.getAsInt());
-            return vertx.createHttpClient(
-                    new HttpClientOptions()
+            return vertx.httpClientBuilder()
+                    .with(new HttpClientOptions()
                             .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setKeepAlive(true)
                             .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
                             .setDecompressionSupported(false)
-                            .setTcpNoDelay(true),
-                    new PoolOptions().setHttp1MaxSize(Math.max(LEAST_CONNECTIONS, share)));
+                            .setTcpNoDelay(true))
+                    .with(new PoolOptions().setHttp1MaxSize(Math.max(LEAST_CONNECTIONS, share)))
+                    .withConnectHandler(connection -> connection.exceptionHandler(e -> failed.add(connection)))
+                    .build();
         });
     }
 
@@ -119,6 +135,21 @@
         return method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT) || method.equals(HttpMethod.PATCH);
     }
 
+    /**
+     * Tells whether an answer that ended with its connection may lack something. A body without a length ends in the
+     * same way when its connection is reset; the failure is reported on its own, at about the same time.
+     */
+    boolean isDoubtful(HttpClientResponse answer) {
+        MultiMap headers = answer.headers();
+        if (headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
+            return false;
+        }
+        Promise<Void> reported = Promise.promise();
+        vertx.setTimer(FAILURE_REPORT.toMillis(), id -> reported.complete());
+        reported.future().await();
+        return failed.contains(answer.request().connection());
+    }
+
     void close() {
         clients.values().forEach(HttpClient::close);
     }
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -0,0 +1,156 @@
+package org.verbenatally.forward;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
+
+import io.vertx.core.Vertx;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.OrganisationId;
+import org.verbenatally.core.RouteName;
+import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.peer.PeerOptions;
+import org.verbenatally.peer.PeerTimings;
+import org.verbenatally.time.SystemTimerService;
+
+/** A forwarding instance on loopback with raw targets. It has one route for each kind of repetition. */
+final class ForwardFixture implements AutoCloseable {
+    static final ServiceName CALLS = new ServiceName("calls");
+    static final ServiceName ENGINES = new ServiceName("engines");
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    final Vertx vertx = Vertx.vertx();
+    final ForwardServer server;
+    final Address callers;
+    private final HttpClient client = HttpClient.newHttpClient();
+    private final List<ForwardTarget> targets = new ArrayList<>();
+    private final AtomicReference<ForwardDeployment> deployment = new AtomicReference<>();
+
+    ForwardFixture() throws IOException {
+        callers = free();
+        server = new ForwardServer(
+                new ForwardOptions(callers, free(), "/ready", Optional.empty(), peers(), Duration.ofSeconds(2), rule()),
+                vertx,
+                new SystemTimerService(),
+                new TestCodec());
+        server.start((source, body) -> deployment.get());
+    }
+
+    private static RepeatAllowance.Rule rule() {
+        return new RepeatAllowance.Rule(0.2, Duration.ofSeconds(10), 50);
+    }
+
+    private static PeerOptions peers() throws IOException {
+        Address a = free();
+        return new PeerOptions(
+                new InstanceId("one"),
+                new FailureDomain("here"),
+                "region",
+                ForwardDeployment.NAME,
+                a.host(),
+                a.port(),
+                Optional.empty(),
+                List.of(),
+                Optional.empty(),
+                Optional.empty(),
+                7,
+                PeerTimings.standard().dividedBy(20));
+    }
+
+    private static Address free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new Address(socket.getInetAddress().getHostAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Puts a configuration in force, whose credentials are {@code key-N} of organisation {@code org-N}. */
+    void configure(long version, String... keys) throws InterruptedException {
+        Map<String, OrganisationId> credentials = new java.util.HashMap<>();
+        for (String key : keys) {
+            credentials.put(key, new OrganisationId("org-" + key));
+        }
+        var engine =
+                new ServiceSpec.EngineTraits(8, 100_000, true, true, Duration.ofNanos(1), 1, Duration.ofSeconds(5));
+        deployment.set(new ForwardDeployment(
+                new ConfigVersion(version),
+                List.of(
+                        route("once", Repetition.AT_MOST_ONCE, CALLS, 1),
+                        route("repeat", Repetition.IDEMPOTENT, CALLS, 2),
+                        route("stream", Repetition.GENERATION, ENGINES, 1)),
+                List.of(
+                        new ServiceSpec(CALLS, 100, Optional.empty()),
+                        new ServiceSpec(ENGINES, 100, Optional.of(engine))),
+                credentials,
+                new ForwardDeployment.CallerLimits(8_192, 65_536, Duration.ofSeconds(15))));
+        server.offerConfig("test", Long.toString(version).getBytes(java.nio.charset.StandardCharsets.UTF_8));
+        long until = System.nanoTime() + Duration.ofSeconds(20).toNanos();
+        while (server.version() < version && System.nanoTime() < until) {
+            Thread.sleep(5);
+        }
+    }
+
+    private Route route(String name, Repetition repetition, ServiceName service, int attempts) {
+        return new Route(
+                new RouteName(name),
+                callers.host(),
+                "/" + name + "/",
+                repetition,
+                TIMEOUT,
+                Duration.ofMillis(200),
+                0,
+                List.of(new Route.Share(service, 1)),
+                attempts,
+                false,
+                repetition == Repetition.GENERATION ? Optional.of(Duration.ofMillis(200)) : Optional.empty());
+    }
+
+    /** Publishes one more target. */
+    void publish(String id, ServiceName service, RawTarget target) {
+        publish(id, service, target, 0);
+    }
+
+    /** Publishes one more target, which is avoided as long as it says that it is cold. */
+    void publish(String id, ServiceName service, RawTarget target, long coldMs) {
+        targets.add(entry(id, service, target.address(), false, coldMs));
+        server.directory().published(targets);
+    }
+
+    private static ForwardTarget entry(String id, ServiceName service, Address address, boolean leaving, long coldMs) {
+        return new ForwardTarget(new TargetId(id), 1, service, address, new FailureDomain("here"), 4, leaving, coldMs);
+    }
+
+    /** Publishes that a target leaves. */
+    void leave(String id) {
+        targets.replaceAll(t -> t.id().value().equals(id) ? entry(id, t.service(), t.address(), true, 0) : t);
+        server.directory().published(targets);
+    }
+
+    HttpRequest.Builder request(String path, String id) {
+        return HttpRequest.newBuilder(URI.create("http://" + callers + path))
+                .header(TestCodec.ID, id)
+                .header(TestCodec.PATIENCE, "3000");
+    }
+
+    HttpResponse<String> send(HttpRequest request) throws IOException, InterruptedException {
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    @Override
+    public void close() {
+        vertx.close();
+    }
+}
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -0,0 +1,281 @@
+package org.verbenatally.forward;
+
+import java.io.OutputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
+import static org.verbenatally.forward.ForwardFixture.ENGINES;
+
+class ForwardServerTest {
+    private ForwardFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardFixture();
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    private static String head(String request, String framing) {
+        return "HTTP/1.1 200 OK\r\nTest-Id: " + RawTarget.header(request, TestCodec.ID) + "\r\nTest-Signed: yes\r\n"
+                + framing + "\r\n";
+    }
+
+    private static String whole(String request, String body) {
+        return head(request, "Content-Length: " + body.length() + "\r\n") + body;
+    }
+
+    private static String events(int from, int to) {
+        StringBuilder text = new StringBuilder();
+        IntStream.rangeClosed(from, to)
+                .forEach(i -> text.append("id: ")
+                        .append(i)
+                        .append("\ndata: t")
+                        .append(i)
+                        .append("\n\n"));
+        return text.toString();
+    }
+
+    private static void chunk(OutputStream out, String text) throws java.io.IOException {
+        RawTarget.write(out, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+    }
+
+    private HttpResponse<String> get(String path, String id) throws Exception {
+        return fixture.send(fixture.request(path, id).build());
+    }
+
+    private HttpResponse<String> post(String path, String id) throws Exception {
+        return fixture.send(fixture.request(path, id)
+                .POST(HttpRequest.BodyPublishers.ofString("body of " + id))
+                .build());
+    }
+
+    private HttpResponse<String> generate(String id) throws Exception {
+        return fixture.send(fixture.request("/stream/x", id)
+                .header(TestCodec.TOKENS, "400")
+                .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+                .build());
+    }
+
+    /** Guards against a request, or an answer, that changes on its way. */
+    @Test
+    void forwardsUnchanged() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, whole(head, "answer"));
+            return true;
+        })) {
+            fixture.configure(1, "secret");
+            fixture.publish("a", CALLS, target);
+            var answer = fixture.send(fixture.request("/repeat/some%20path?q=1&r", "r1")
+                    .header(TestCodec.KEY, "secret")
+                    .build());
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo("answer");
+            String seen = target.requests().getFirst();
+            assertThat(seen).startsWith("GET /repeat/some%20path?q=1&r HTTP/1.1\r\n");
+            assertThat(RawTarget.header(seen, TestCodec.ORGANISATION)).isEqualTo("org-secret");
+            assertThat(RawTarget.header(seen, TestCodec.TARGET)).isEqualTo("a");
+            assertThat(RawTarget.header(seen, TestCodec.KEY)).isEmpty();
+        }
+    }
+
+    /** Guards against 404 or 401, which callers take for final, before anything is known. */
+    @Test
+    void refusesUntilConfigured() throws Exception {
+        assertThat(get("/repeat/x", "r1").statusCode()).isEqualTo(503);
+        fixture.configure(1, "secret");
+        assertThat(get("/repeat/x", "r2").statusCode()).isEqualTo(401);
+        assertThat(get("/other/x", "r3").statusCode()).isEqualTo(404);
+    }
+
+    /** Guards against a key that is still accepted after a newer configuration dropped it. */
+    @Test
+    void dropsRevokedKeys() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, whole(head, "answer"));
+            return true;
+        })) {
+            fixture.configure(1, "old", "kept");
+            fixture.publish("a", CALLS, target);
+            fixture.configure(2, "kept");
+            var request = fixture.request("/repeat/x", "r1").header(TestCodec.KEY, "old");
+            assertThat(fixture.send(request.build()).statusCode()).isEqualTo(401);
+        }
+    }
+
+    /** Guards against an answer without a length that looks whole although its connection was reset. */
+    @Test
+    void resetAnswerWithoutLengthIsNotWhole() throws Exception {
+        AtomicInteger resets = new AtomicInteger();
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, head(head, "") + "half of the");
+            Thread.sleep(resets.incrementAndGet() % 3 * 20);
+            RawTarget.reset(socket);
+            return false;
+        })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            for (int i = 0; i < 60; i++) {
+                assertThat(post("/once/x", "r" + i).statusCode()).isEqualTo(502);
+            }
+        }
+    }
+
+    /** Guards against a good answer that is taken for a broken one because it ends with its connection. */
+    @Test
+    void answerMayEndWithItsConnection() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, head(head, "") + "all of it");
+            return false;
+        })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            var answer = post("/once/x", "r1");
+            assertThat(answer.statusCode()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo("all of it");
+        }
+    }
+
+    /** Guards against an extra answer that reaches the next request of its connection. */
+    @Test
+    void extraAnswerReachesNobody() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, whole(head, "answer") + whole(head, "extra"));
+            return true;
+        })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            for (int i = 0; i < 10; i++) {
+                var answer = get("/repeat/x", "r" + i);
+                assertThat(answer.statusCode() == 200 ? answer.body() : "answer")
+                        .isEqualTo("answer");
+                assertThat(answer.headers().firstValue(TestCodec.ID).orElse("r" + i))
+                        .isEqualTo("r" + i);
+            }
+        }
+    }
+
+    /** Guards against a second run of a request that must run at most once, and against the promise that it has not. */
+    @Test
+    void lostAnswerIsNotRepeated() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        RawTarget.Script losing = (head, out, socket) -> {
+            runs.incrementAndGet();
+            return false;
+        };
+        try (var one = new RawTarget(losing);
+                var other = new RawTarget(losing)) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, one);
+            fixture.publish("b", CALLS, other);
+            assertThat(post("/once/x", "r1").statusCode()).isEqualTo(502);
+            assertThat(runs).hasValue(1);
+            runs.set(0);
+            assertThat(get("/repeat/x", "r2").statusCode()).isEqualTo(502);
+            assertThat(runs).hasValue(2);
+        }
+    }
+
+    /** Guards against a refusal by one target that reaches the caller while another is free. */
+    @Test
+    void refusedWorkGoesToAnotherTarget() throws Exception {
+        try (var full = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(out, "HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                    return true;
+                });
+                var free = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(out, whole(head, "answer"));
+                    return true;
+                })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, full);
+            assertThat(post("/once/x", "r1").headers().firstValue("Retry-After"))
+                    .isPresent();
+            fixture.publish("b", CALLS, free);
+            for (int i = 0; i < 5; i++) {
+                assertThat(post("/once/x", "s" + i).statusCode()).isEqualTo(200);
+            }
+        }
+    }
+
+    private static RawTarget holder() throws Exception {
+        return new RawTarget((head, out, socket) -> {
+            if (RawTarget.header(head, TestCodec.COPY).isEmpty()) {
+                RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+                chunk(out, events(1, 3));
+                Thread.sleep(100_000);
+            }
+            int last = Integer.parseInt(RawTarget.header(head, TestCodec.LAST_EVENT));
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(last + 1, 10));
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        });
+    }
+
+    /** Guards against events that are missing, doubled or torn when an engine dies in the middle of one. */
+    @Test
+    void generationContinuesWhenItsEngineDies() throws Exception {
+        RawTarget.Script dying = (head, out, socket) -> {
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(1, 4) + "id: 5\ndata: t");
+            Thread.sleep(50);
+            RawTarget.reset(socket);
+            return false;
+        };
+        try (var engine = new RawTarget(dying);
+                var holder = holder()) {
+            fixture.configure(1);
+            fixture.publish("dying", ENGINES, engine);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            var answer = generate("r1");
+            assertThat(answer.body()).isEqualTo(events(1, 10));
+        }
+    }
+
+    /** Guards against a generation that is cut off because its engine leaves. */
+    @Test
+    void generationMovesWhenItsEngineLeaves() throws Exception {
+        CompletableFuture<Void> begun = new CompletableFuture<>();
+        RawTarget.Script endless = (head, out, socket) -> {
+            if (head.startsWith("POST /copy")) {
+                RawTarget.write(out, whole(head, "copy-1"));
+                return true;
+            }
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(1, 4));
+            begun.complete(null);
+            Thread.sleep(100_000);
+            return false;
+        };
+        try (var engine = new RawTarget(endless);
+                var holder = holder()) {
+            fixture.configure(1);
+            fixture.publish("leaving", ENGINES, engine);
+            CompletableFuture<HttpResponse<String>> answer = CompletableFuture.supplyAsync(() -> {
+                try {
+                    return generate("r1");
+                } catch (Exception e) {
+                    throw new java.util.concurrent.CompletionException(e);
+                }
+            });
+            begun.get(10, java.util.concurrent.TimeUnit.SECONDS);
+            fixture.publish("holder", ENGINES, holder);
+            fixture.leave("leaving");
+            assertThat(answer.get(10, java.util.concurrent.TimeUnit.SECONDS).body())
+                    .isEqualTo(events(1, 10));
+        }
+    }
+}
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/RawTarget.java
@@ -0,0 +1,117 @@
+package org.verbenatally.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+
+import org.verbenatally.core.Address;
+
+/** A target on loopback whose answers are written byte by byte, so that they can be wrong in any way. */
+final class RawTarget implements AutoCloseable {
+
+    /** Answers one request; returns whether the connection stays open. */
+    @FunctionalInterface
+    interface Script {
+        boolean answer(String head, OutputStream out, Socket socket) throws IOException, InterruptedException;
+    }
+
+    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
+    private final Script script;
+
+    RawTarget(Script script) throws IOException {
+        this.script = script;
+        Thread.ofVirtual().start(this::accept);
+    }
+
+    Address address() {
+        return new Address(server.getInetAddress().getHostAddress(), server.getLocalPort());
+    }
+
+    /** Returns the heads of the requests that arrived. */
+    List<String> requests() {
+        return List.copyOf(requests);
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket socket = server.accept();
+                Thread.ofVirtual().start(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            while (true) {
+                String head = head(socket.getInputStream());
+                if (head.isEmpty()) {
+                    return;
+                }
+                requests.add(head);
+                if (!script.answer(head, socket.getOutputStream(), socket)) {
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            // The client has closed the connection.
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Reads a head and skips the body that its length announces. */
+    private static String head(InputStream in) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            int b = in.read();
+            if (b < 0) {
+                return "";
+            }
+            head.append((char) b);
+        }
+        for (String line : head.toString().split("\r\n")) {
+            if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
+                in.skipNBytes(
+                        Long.parseLong(line.substring(line.indexOf(':') + 1).strip()));
+            }
+        }
+        return head.toString();
+    }
+
+    /** Returns the value of a header of a request head. */
+    static String header(String head, String name) {
+        for (String line : head.split("\r\n")) {
+            if (line.regionMatches(true, 0, name + ":", 0, name.length() + 1)) {
+                return line.substring(name.length() + 1).strip();
+            }
+        }
+        return "";
+    }
+
+    static void write(OutputStream out, String text) throws IOException {
+        out.write(text.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+    }
+
+    /** Resets a connection, as a process that dies with unread bytes does. */
+    static void reset(Socket socket) throws IOException {
+        socket.setSoLinger(true, 0);
+        socket.close();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+    }
+}
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -0,0 +1,73 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServerRequest;
+import org.verbenatally.core.Address;
+
+/** Headers of the tests, with names of their own. */
+final class TestCodec implements WireCodec {
+    static final String ID = "Test-Id";
+    static final String PATIENCE = "Test-Patience";
+    static final String TOKENS = "Test-Tokens";
+    static final String KEY = "Test-Key";
+    static final String TARGET = "Test-Target";
+    static final String ORGANISATION = "Test-Organisation";
+    static final String BACKUP = "Test-Backup";
+    static final String COPY = "Test-Copy";
+    static final String LAST_EVENT = "Test-Last-Event";
+    static final String NOT_RUN = "Test-Not-Run";
+    static final String SIGNED = "Test-Signed";
+
+    @Override
+    public RequestHead read(HttpServerRequest request) {
+        String tokens = request.getHeader(TOKENS);
+        return new RequestHead(
+                Optional.ofNullable(request.getHeader(ID)).orElseThrow(() -> new IllegalArgumentException("no id")),
+                request.authority().host(),
+                request.path(),
+                Optional.ofNullable(request.getHeader(KEY)),
+                Optional.ofNullable(request.getHeader(PATIENCE)).map(v -> Duration.ofMillis(Long.parseLong(v))),
+                tokens == null
+                        ? Optional.empty()
+                        : Optional.of(new Generation(100, Long.parseLong(tokens), OptionalLong.empty())));
+    }
+
+    @Override
+    public void write(TargetOrder order, MultiMap headers) {
+        headers.remove(KEY);
+        headers.set(TARGET, order.target().value());
+        headers.set(PATIENCE, Long.toString(order.timeLeft().toMillis()));
+        order.organisation().ifPresent(o -> headers.set(ORGANISATION, o.value()));
+        order.backup().ifPresent(a -> headers.set(BACKUP, a.toString()));
+        order.continuation().ifPresent(c -> {
+            headers.set(COPY, c.holder() + "/" + c.copy());
+            c.lastEvent().ifPresent(e -> headers.set(LAST_EVENT, e));
+        });
+    }
+
+    @Override
+    public AnswerHead read(HttpClientResponse answer) {
+        return new AnswerHead(
+                answer.statusCode(),
+                answer.getHeader(NOT_RUN) != null,
+                Optional.ofNullable(answer.getHeader(ID)),
+                answer.getHeader(SIGNED) != null);
+    }
+
+    @Override
+    public CopyCall copy(String requestId, Address destination, boolean last) {
+        return new CopyCall(HttpMethod.POST, "/copy?last=" + last, Buffer.buffer(requestId + ">" + destination));
+    }
+
+    @Override
+    public Optional<String> readCopy(int status, Buffer body) {
+        return status == 200 ? Optional.of(body.toString()) : Optional.empty();
+    }
+}
