--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -85,7 +85,8 @@
         Flight flight = new Flight(row, null, null, () -> {});
         try {
             sends++;
-            var order = new TargetOrder(row.target().id(), left, r.organisation(), Optional.empty(), Optional.empty());
+            var order = new TargetOrder(
+                    row.target().id(), left, Urgency.NORMAL, r.organisation(), Optional.empty(), Optional.empty());
             Attempt attempt = Attempt.start(parts, r, caller, row, order, patience(left));
             return answered(attempt);
         } catch (StepException e) {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -18,6 +18,8 @@
     private static final Logger LOG = Logger.getLogger(ForwardHandler.class);
 
     private static final Duration RETRY_AFTER = Duration.ofMillis(200);
+    private static final Duration START_WAIT = Duration.ofMillis(400);
+    private static final Duration START_CHECK = Duration.ofMillis(10);
     /** Callers that state no patience are waited for this long while they send their body. */
     private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
 
@@ -87,9 +89,7 @@
         } catch (IllegalArgumentException e) {
             throw new Rejected(CallerExchange.BAD_REQUEST, e.getMessage());
         }
-        ForwardDeployment present = deployment
-                .get()
-                .orElseThrow(() -> new Rejected(CallerExchange.UNAVAILABLE, "no configuration is known yet"));
+        ForwardDeployment present = awaitDeployment(caller);
         Buffer body = body(caller, head, present);
         // The configuration may have changed while the body arrived.
         ForwardDeployment d = deployment.get().orElse(present);
@@ -126,6 +126,19 @@
                 .info(LOG);
     }
 
+    /** A starting instance knows its configuration within a fraction of a second, which is sooner than a retry. */
+    private ForwardDeployment awaitDeployment(CallerExchange caller) throws Rejected {
+        long until = parts.timer().nanos() + START_WAIT.toNanos();
+        while ((deployment.get().isEmpty() || !parts.directory().isKnown())
+                && !caller.isGone()
+                && parts.timer().nanos() - until < 0) {
+            Waiting.pause(context.owner(), START_CHECK);
+        }
+        return deployment
+                .get()
+                .orElseThrow(() -> new Rejected(CallerExchange.UNAVAILABLE, "no configuration is known yet"));
+    }
+
     private static Buffer body(CallerExchange caller, RequestHead head, ForwardDeployment d) throws Rejected {
         try {
             return caller.body(d.limits().bodyBytes(), head.patience().orElse(BODY_TIMEOUT));
--- a/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
@@ -8,6 +8,7 @@
  * @param timer clock
  * @param directory targets
  * @param chooser chooses targets
+ * @param line generations that wait for an engine
  * @param client connections to targets
  * @param codec translates heads
  * @param repeats bounds repeated sends
@@ -18,6 +19,7 @@
         TimerService timer,
         TargetDirectory directory,
         TargetChooser chooser,
+        WaitingLine line,
         TargetClient client,
         WireCodec codec,
         RepeatAllowance repeats,
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -67,6 +67,7 @@
                 timer,
                 directory,
                 new TargetChooser(timer, directory, options.peers().failureDomain()),
+                new WaitingLine(timer),
                 new TargetClient(vertx, this::liveMembers),
                 codec,
                 new RepeatAllowance(timer, options.repeats(), this::liveMembers),
@@ -74,6 +75,7 @@
                 this::pushSoon);
         metrics.gauge("verbenatally.open.requests", shutdown::open);
         metrics.gauge("verbenatally.config.version", this::version);
+        metrics.gauge("verbenatally.waiting", () -> parts.line().size());
         metrics.gauge("verbenatally.members", this::liveMembers);
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -1,18 +1,22 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpMethod;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.core.TargetId;
 
 /**
  * Copies a generation from an engine that is about to leave to another one while it runs, for generations of which no
@@ -25,6 +29,10 @@
     /** Engines are taken away within about two seconds; the rest is copied before, whatever is still queued. */
     private static final Duration LATEST_FINISH = Duration.ofMillis(1_100);
     /** The rest since the first copy is a few tokens. */
+    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(100);
+    /** Time kept for the last copy and the start elsewhere before the engine is gone. */
+    private static final Duration LAST_COPY = Duration.ofMillis(250);
+
     private static final Duration REST_TIMEOUT = Duration.ofSeconds(1);
 
     /** Copies that are tried; engines without room refuse at once. */
@@ -41,6 +49,8 @@
     private boolean busy;
     private long finishNanos;
     private int tries;
+    private final Set<TargetId> full = new HashSet<>();
+    private Runnable reservation;
 
     StreamMover(ForwardParts parts, ForwardedRequest r, Generation generation, Context context) {
         this.parts = Objects.requireNonNull(parts, "parts");
@@ -49,10 +59,25 @@
         this.context = Objects.requireNonNull(context, "context");
     }
 
-    /** Forgets the copy, after the generation has gone on elsewhere. */
+    /** Starts anew after the generation has gone on at another engine. */
     void reset() {
+        discardCopy();
+        tries = 0;
+        full.clear();
+    }
+
+    /** Forgets a copy that turned out to be of no use. */
+    void discardCopy() {
         destination = null;
         copy = null;
+        endReservation();
+    }
+
+    private void endReservation() {
+        if (reservation != null) {
+            reservation.run();
+            reservation = null;
+        }
     }
 
     /** Tells whether a copy exists that lacks only the latest tokens. */
@@ -79,31 +104,82 @@
     void begin(StreamLeg leg) {
         boolean able =
                 r.service().engine().filter(ServiceSpec.EngineTraits::copies).isPresent();
-        if (busy || copy != null || !able || tries >= MAX_TRIES) {
-            return;
+        if (!busy && copy == null && able && tries < MAX_TRIES) {
+            busy = true;
+            tries++;
+            context.runOnContext(v -> {
+                try {
+                    copyWhileRunning(leg);
+                } finally {
+                    busy = false;
+                }
+            });
+        }
+    }
+
+    private void copyWhileRunning(StreamLeg leg) {
+        if (tries == 1) {
+            planFinish(leg.row());
         }
-        Optional<TargetRow> row =
-                parts.chooser().copyHolder(r.service(), generation, leg.row(), TargetChooser.PLANNED_MEMORY);
+        Optional<TargetRow> row = parts.chooser()
+                .copyHolder(r.service(), generation, leg.row(), TargetChooser.PLANNED_MEMORY, full)
+                .or(() -> parts.chooser()
+                        .copyHolder(r.service(), generation, leg.row(), TargetChooser.WHOLE_MEMORY, full));
         if (row.isEmpty()) {
+            LogEvent.of("stream.noDestination").request(r.id()).info(LOG);
             return;
         }
-        busy = true;
-        tries++;
-        long queued = leg.row().ownTokens() + leg.row().peerTokens();
-        Duration all = r.service().engine().orElseThrow().transferTime(queued);
-        finishNanos = parts.timer().nanos() + (all.compareTo(LATEST_FINISH) < 0 ? all : LATEST_FINISH).toNanos();
-        context.runOnContext(v -> {
-            Optional<String> made = call(leg, row.get(), false, COPY_TIMEOUT);
-            busy = false;
-            if (made.isPresent()) {
-                destination = row.get();
-                copy = made.get();
-                Duration wait =
-                        Duration.ofNanos(Math.max(1, finishNanos - parts.timer().nanos()));
-                parts.timer()
-                        .after(wait, () -> context.runOnContext(w -> leg.feed().signal()));
-            }
-        });
+        endReservation();
+        TargetRow to = row.get();
+        to.keepCopy(leg.flight());
+        reservation = () -> to.dropCopy(leg.flight());
+        parts.tellPeers().run();
+        Optional<String> made = call(leg, to, false, COPY_TIMEOUT);
+        if (made.isEmpty()) {
+            full.add(to.target().id());
+            endReservation();
+            leg.feed().signal();
+            return;
+        }
+        destination = to;
+        copy = made.get();
+        Duration wait = Duration.ofNanos(Math.max(1, finishNanos - parts.timer().nanos()));
+        parts.timer().after(wait, () -> context.runOnContext(w -> leg.feed().signal()));
+    }
+
+    /** Plans the last copy for when all first copies should be through, but before the engine is gone. */
+    private void planFinish(TargetRow source) {
+        long start = parts.timer().nanos();
+        Duration all = r.service().engine().orElseThrow().transferTime(source.ownTokens() + source.peerTokens());
+        Duration latest = leavesIn(source).map(t -> t.minus(LAST_COPY)).orElse(LATEST_FINISH);
+        finishNanos = start + (all.compareTo(latest) < 0 ? all : latest).toNanos();
+        LogEvent.of("stream.leaving")
+                .request(r.id())
+                .with("target", source.target().id())
+                .with("allCopiesMs", all.toMillis())
+                .with("latestMs", latest.toMillis())
+                .info(LOG);
+    }
+
+    private Optional<Duration> leavesIn(TargetRow source) {
+        try {
+            HttpClientRequest request = parts.client()
+                    .connect(
+                            r.service(),
+                            source.target().address(),
+                            HttpMethod.GET,
+                            parts.codec().reportPath(),
+                            REPORT_TIMEOUT);
+            HttpClientResponse response = parts.client().send(request, Buffer.buffer(), REPORT_TIMEOUT, reset -> {});
+            return parts.codec().readLeaving(body(request, response, REPORT_TIMEOUT));
+        } catch (StepException e) {
+            LogEvent.of("report.failed")
+                    .with("target", source.target().id())
+                    .with("step", e.step())
+                    .with("reason", e.getMessage())
+                    .info(LOG);
+            return Optional.empty();
+        }
     }
 
     /** Stops the generation and copies its rest; afterwards it can only go on from the copy. */
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.Context;
@@ -32,8 +33,20 @@
     /** Generations that are expected to make fewer tokens end before a copy of them would be of use. */
     private static final long LEAST_TOKENS_TO_COPY = 100;
 
+    /** Part of its objective that a generation waits for an engine; its caller learns soon that it must come back. */
+    private static final int PATIENCE_PART = 8;
+    /** Share of an engine's memory, with what waits there, beyond which more would only wait in vain. */
+    private static final double OVERFULL_MEMORY = 1.3;
+    /** Time kept for the network and for the other generations of the engine, besides the reading of prompts. */
+    private static final Duration START_MARGIN = Duration.ofMillis(200);
+    /** Engines get room a few times a second. */
+    private static final Duration ROOM_CHECK = Duration.ofMillis(25);
+
     private static final Duration LEAST_TIME = Duration.ofMillis(20);
-    private static final Duration RETRY_AFTER = Duration.ofMillis(300);
+    /** Room for a long generation comes with the end of another, or with a new engine; both take seconds. */
+    private static final Duration RETRY_AFTER = Duration.ofMillis(1_500);
+
+    private static final Duration RETRY_SPREAD = Duration.ofMillis(1_000);
     /** Gap target of routes that state none. */
     private static final Duration DEFAULT_GAP = Duration.ofMillis(500);
     /** Longest wait for an engine to go on from a copy. */
@@ -47,6 +60,7 @@
     private final StreamMover mover;
     private final Set<TargetId> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
+    private Urgency urgency = Urgency.NORMAL;
     private int sends;
     private int continuations;
     private long piecesPassed;
@@ -93,9 +107,12 @@
             if (r.left(parts.timer().nanos()).compareTo(LEAST_TIME) < 0) {
                 return refuse("deadline");
             }
-            Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, tried);
+            Optional<TargetRow> row = awaitEngine();
+            if (caller.isGone()) {
+                return "caller left";
+            }
             if (row.isEmpty()) {
-                return refuse("no engine");
+                return refuse("no engine with room");
             }
             if (sends == 0) {
                 parts.repeats().first(r.service().name());
@@ -111,13 +128,53 @@
         return "caller left";
     }
 
+    /** Returns the engine for the generation, after waiting until one has room; empty if that takes too long. */
+    private Optional<TargetRow> awaitEngine() {
+        long start = parts.timer().nanos();
+        Duration patience = r.route().objective().dividedBy(PATIENCE_PART);
+        WaitingLine.Place place =
+                parts.line().enter(r.service().name(), r.route().priority(), start + patience.toNanos());
+        if (place == null) {
+            return Optional.empty();
+        }
+        try {
+            while (!caller.isGone()) {
+                if (parts.line().isNext(r.service().name(), place)) {
+                    Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, tried);
+                    Duration waited = Duration.ofNanos(parts.timer().nanos() - start);
+                    if (row.isEmpty() || mayStart(row.get(), waited)) {
+                        return row;
+                    }
+                    if (waited.compareTo(patience) > 0) {
+                        urgency = Urgency.FILLING;
+                        return row.filter(e -> parts.chooser().hasRoom(r.service(), generation, e, OVERFULL_MEMORY));
+                    }
+                }
+                Waiting.pause(context.owner(), ROOM_CHECK);
+            }
+            return Optional.empty();
+        } finally {
+            parts.line().leave(r.service().name(), place);
+        }
+    }
+
+    /** Tells whether an engine has the memory, and can read the prompt in time; if it is late anyway, soon. */
+    private boolean mayStart(TargetRow row, Duration waited) {
+        Duration limit = r.route().objective().minus(waited).minus(START_MARGIN);
+        // Short generations end before they would have to move.
+        double share = isLong() ? parts.chooser().newWorkShare(r.service().name()) : TargetChooser.PLANNED_MEMORY;
+        return parts.chooser().hasRoom(r.service(), generation, row, share)
+                && parts.chooser().readTime(row, generation).compareTo(limit) <= 0;
+    }
+
     private String refuse(String reason) {
         LogEvent.of("request.unserved")
                 .request(r.id())
                 .with("reason", reason)
                 .with("sends", sends)
                 .info(LOG);
-        caller.refuse(CallerExchange.UNAVAILABLE, RETRY_AFTER);
+        long spread = ThreadLocalRandom.current().nextLong(RETRY_SPREAD.toMillis());
+        caller.refuse(CallerExchange.UNAVAILABLE, RETRY_AFTER.plusMillis(spread));
         return "refused: " + reason;
     }
 
@@ -186,7 +243,7 @@
                         && generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
         TargetRow backup = copied
                 ? parts.chooser()
-                        .copyHolder(r.service(), generation, row, TargetChooser.STANDING_COPIES)
+                        .copyHolder(r.service(), generation, row, TargetChooser.STANDING_COPIES, Set.of())
                         .orElse(null)
                 : null;
         Flight flight = new Flight(row, backup, generation, () -> context.runOnContext(v -> wake()));
@@ -204,6 +261,7 @@
         var order = new TargetOrder(
                 flight.row().target().id(),
                 r.left(parts.timer().nanos()),
+                continuation.isPresent() ? Urgency.CONTINUED : urgency,
                 r.organisation(),
                 Optional.ofNullable(flight.backup()).map(b -> b.target().address()),
                 continuation);
@@ -296,13 +354,13 @@
         if (kept || mover.mayFinish()) {
             return true;
         }
-        if (isWorthMoving()) {
+        if (isLong()) {
             mover.begin(leg);
         }
         return false;
     }
 
-    private boolean isWorthMoving() {
+    private boolean isLong() {
         return generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
     }
 
@@ -348,7 +406,7 @@
         } else {
             if (!mover.finish(leg)) {
                 // If the generation has stopped all the same, its stream breaks off, which ends this leg.
-                mover.reset();
+                mover.discardCopy();
                 return;
             }
             next = continueAt(mover.destination(), mover.copy(), leg.row());
--- a/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
@@ -1,5 +1,6 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Objects;
@@ -28,6 +29,12 @@
     private static final double NEIGHBOUR_MS = 3;
     /** Share of an engine's memory that is planned for; beyond it generations may be interrupted and read again. */
     static final double PLANNED_MEMORY = 0.92;
+    /** The memory of an engine; more is planned only for generations that would be lost otherwise. */
+    static final double WHOLE_MEMORY = 1.0;
+    /** Departures within this time mean that more are to be expected. */
+    private static final Duration DEPARTURES_COUNT = Duration.ofSeconds(10);
+    /** With two engines, one of them must do. */
+    private static final double LEAST_SHARE = 0.5;
     /** Share of an engine's memory up to which it keeps copies that nobody needs yet. */
     static final double STANDING_COPIES = 0.6;
     /** Cost of planning beyond the memory, in milliseconds for the whole memory. */
@@ -100,18 +107,42 @@
                 + SPREAD_MS * random.nextDouble();
     }
 
+    /**
+     * Returns the share of each engine's memory that new generations may fill. While engines leave, the memory of one
+     * is kept free over the others: what runs there has to move, and is worth more than what has not begun.
+     */
+    double newWorkShare(ServiceName service) {
+        int engines = directory.candidates(service).size();
+        if (engines < 2 || directory.departures(service, DEPARTURES_COUNT) == 0) {
+            return PLANNED_MEMORY;
+        }
+        return Math.min(PLANNED_MEMORY, Math.max(LEAST_SHARE, 1 - 1.0 / engines));
+    }
+
+    /** Returns the time that an engine needs to read the prompts that wait there and one more. */
+    Duration readTime(TargetRow row, Generation generation) {
+        double tokens = row.unreadTokens() + row.peerUnreadTokens() + generation.promptTokens();
+        return Duration.ofMillis((long) (tokens / READ_TOKENS_PER_MS));
+    }
+
+    /** Tells whether a generation fits the memory of an engine. */
+    boolean hasRoom(ServiceSpec service, Generation generation, TargetRow row, double share) {
+        double capacity = service.engine().orElseThrow().memoryTokens();
+        return row.ownTokens() + row.peerTokens() + generation.expectedMemory(0) <= share * capacity;
+    }
+
     /**
      * Returns the engine that gets a copy of a generation, with memory to spare: one in the failure domain of its
      * source if there is one, since a copy to another one takes twice as long.
      */
-    Optional<TargetRow> copyHolder(ServiceSpec service, Generation generation, TargetRow source, double share) {
-        double capacity = service.engine().orElseThrow().memoryTokens();
+    Optional<TargetRow> copyHolder(
+            ServiceSpec service, Generation generation, TargetRow source, double share, Set<TargetId> exclude) {
         long memory = generation.expectedMemory(0);
         long now = timer.nanos();
         FailureDomain near = source.target().failureDomain();
-        List<TargetRow> roomy = usable(service.name(), Set.of(source.target().id())).stream()
-                .filter(row -> !row.isSuspended(now))
-                .filter(row -> row.ownTokens() + row.peerTokens() + memory <= share * capacity)
+        List<TargetRow> roomy = usable(service.name(), exclude).stream()
+                .filter(row -> row != source && !row.isSuspended(now))
+                .filter(row -> hasRoom(service, generation, row, share))
                 .toList();
         List<TargetRow> inDomain = roomy.stream()
                 .filter(row -> row.target().failureDomain().equals(near))
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -13,7 +13,6 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
-import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -144,9 +143,7 @@
         if (headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
             return false;
         }
-        Promise<Void> reported = Promise.promise();
-        vertx.setTimer(FAILURE_REPORT.toMillis(), id -> reported.complete());
-        reported.future().await();
+        Waiting.pause(vertx, FAILURE_REPORT);
         return failed.contains(answer.request().connection());
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -159,6 +159,15 @@
                 .toList();
     }
 
+    /** Returns how many targets of a service were found to leave within the given time. */
+    synchronized int departures(ServiceName service, Duration within) {
+        long since = timer.nanos() - within.toNanos();
+        return (int) leavingSince.entrySet().stream()
+                .filter(e -> e.getValue() - since >= 0 && rows.containsKey(e.getKey()))
+                .filter(e -> rows.get(e.getKey()).target().service().equals(service))
+                .count();
+    }
+
     private boolean peersSayLeaving(TargetId id, long now) {
         return leavingAtPeers.values().stream()
                 .map(said -> said.get(id))
--- a/forward/src/main/java/org/verbenatally/forward/TargetOrder.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetOrder.java
@@ -13,6 +13,7 @@
  *
  * @param target the only target that may run it
  * @param timeLeft how long the answer is of use
+ * @param urgency rank among the generations of an engine
  * @param organisation organisation of the caller
  * @param backup engine that keeps a copy of the generation up to date
  * @param continuation where the generation goes on from, if it has begun at another engine
@@ -20,6 +21,7 @@
 public record TargetOrder(
         TargetId target,
         Duration timeLeft,
+        Urgency urgency,
         Optional<OrganisationId> organisation,
         Optional<Address> backup,
         Optional<Continuation> continuation) {
--- a/forward/src/main/java/org/verbenatally/forward/Waiting.java
+++ b/forward/src/main/java/org/verbenatally/forward/Waiting.java
@@ -5,11 +5,20 @@
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
+import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 
 /** Waits for futures in a virtual-thread task. */
 final class Waiting {
     private Waiting() {}
 
+    /** Lets the given time pass. */
+    static void pause(Vertx vertx, Duration time) {
+        Promise<Void> over = Promise.promise();
+        vertx.setTimer(Math.max(1, time.toMillis()), id -> over.complete());
+        over.future().await();
+    }
+
     /**
      * Waits until a future has completed. A wait with a limit of Vert.x 5.0.7 itself leaves the task unusable after a
      * timeout, so the limit is put on the future.
--- a/forward/src/main/java/org/verbenatally/forward/WireCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/WireCodec.java
@@ -1,5 +1,6 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.vertx.core.MultiMap;
@@ -36,6 +37,12 @@
      */
     CopyCall copy(String requestId, Address destination, boolean last);
 
+    /** Returns the path at which an engine reports its state. */
+    String reportPath();
+
+    /** Returns how soon an engine will be gone, from its report; empty if it does not know. */
+    Optional<Duration> readLeaving(Buffer report);
+
     /** Returns the id of a copy from the answer to such a call, or empty if there is none. */
     Optional<String> readCopy(int status, Buffer body);
 }
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -66,6 +66,16 @@
         return new CopyCall(HttpMethod.POST, "/copy?last=" + last, Buffer.buffer(requestId + ">" + destination));
     }
 
+    @Override
+    public String reportPath() {
+        return "/report";
+    }
+
+    @Override
+    public Optional<Duration> readLeaving(Buffer report) {
+        return Optional.of(Duration.ofMillis(Long.parseLong(report.toString())));
+    }
+
     @Override
     public Optional<String> readCopy(int status, Buffer body) {
         return status == 200 ? Optional.of(body.toString()) : Optional.empty();
