Go on from the first copy of a generation, without a last one

Cause: the last copy of a generation waited behind the first copies of its neighbours until the engine was gone, and a generation that found no engine with planned room stopped looking within 200 ms. Change: the engine that holds the first copy reads the few tokens that it lacks; destinations are asked also when they seem full, and again after a pause.

--- a/forward/src/main/java/org/verbenatally/forward/ServiceSpec.java
+++ b/forward/src/main/java/org/verbenatally/forward/ServiceSpec.java
@@ -22,7 +22,6 @@
      * @param memoryTokens key-value memory, in tokens
      * @param copies whether a running generation can be copied to another engine
      * @param backups whether an engine can keep a second copy of a running generation up to date elsewhere
-     * @param tokenTransfer time to move the memory of one token to another engine
      * @param tokensPerEvent tokens in one event of a stream
      * @param copyLife how long a copy is kept that nobody uses
      */
@@ -31,15 +30,8 @@
             long memoryTokens,
             boolean copies,
             boolean backups,
-            Duration tokenTransfer,
             int tokensPerEvent,
-            Duration copyLife) {
-
-        /** Returns the time to move generations that hold so many tokens, one after another. */
-        Duration transferTime(long tokens) {
-            return tokenTransfer.multipliedBy(tokens);
-        }
-    }
+            Duration copyLife) {}
 
     /** Checks that the parts are there. */
     public ServiceSpec {
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -10,7 +10,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
@@ -26,17 +25,10 @@
     private static final Logger LOG = Logger.getLogger(StreamMover.class);
     /** A leaving engine copies one generation after another, a few tenths of a second each. */
     private static final Duration COPY_TIMEOUT = Duration.ofSeconds(3);
-    /** Engines are taken away within about two seconds; the rest is copied before, whatever is still queued. */
-    private static final Duration LATEST_FINISH = Duration.ofMillis(1_100);
-    /** The rest since the first copy is a few tokens. */
-    private static final Duration REPORT_TIMEOUT = Duration.ofMillis(100);
-    /** Time kept for the last copy and the start elsewhere before the engine is gone. */
-    private static final Duration LAST_COPY = Duration.ofMillis(250);
-
-    private static final Duration REST_TIMEOUT = Duration.ofSeconds(1);
 
+    private static final Duration NEXT_TRY = Duration.ofMillis(100);
     /** Copies that are tried; engines without room refuse at once. */
-    private static final int MAX_TRIES = 6;
+    private static final int MAX_TRIES = 12;
 
     private static final int MAX_ANSWER_BYTES = 65_536;
 
@@ -47,7 +39,6 @@
     private TargetRow destination;
     private String copy;
     private boolean busy;
-    private long finishNanos;
     private int tries;
     private final Set<TargetId> full = new HashSet<>();
     private Runnable reservation;
@@ -59,15 +50,8 @@
         this.context = Objects.requireNonNull(context, "context");
     }
 
-    /** Starts anew after the generation has gone on at another engine. */
+    /** Forgets the copy, which can be used once. */
     void reset() {
-        discardCopy();
-        tries = 0;
-        full.clear();
-    }
-
-    /** Forgets a copy that turned out to be of no use. */
-    void discardCopy() {
         destination = null;
         copy = null;
         endReservation();
@@ -80,16 +64,11 @@
         }
     }
 
-    /** Tells whether a copy exists that lacks only the latest tokens. */
+    /** Tells whether a copy exists; it lacks only the tokens made since. */
     boolean hasCopy() {
         return copy != null;
     }
 
-    /** Tells whether the rest can be copied soon: the first copies of all generations are through by now. */
-    boolean mayFinish() {
-        return copy != null && parts.timer().nanos() - finishNanos >= 0;
-    }
-
     /** Returns the engine that holds the copy. */
     TargetRow destination() {
         return destination;
@@ -118,88 +97,52 @@
     }
 
     private void copyWhileRunning(StreamLeg leg) {
-        if (tries == 1) {
-            planFinish(leg.row());
-        }
-        Optional<TargetRow> row = parts.chooser()
-                .copyHolder(r.service(), generation, leg.row(), TargetChooser.PLANNED_MEMORY, full)
-                .or(() -> parts.chooser()
-                        .copyHolder(r.service(), generation, leg.row(), TargetChooser.WHOLE_MEMORY, full));
+        Optional<TargetRow> row = destination(leg.row());
         if (row.isEmpty()) {
             LogEvent.of("stream.noDestination").request(r.id()).info(LOG);
+            full.clear();
+            Waiting.pause(context.owner(), NEXT_TRY);
+            leg.feed().signal();
             return;
         }
-        endReservation();
         TargetRow to = row.get();
         to.keepCopy(leg.flight());
         reservation = () -> to.dropCopy(leg.flight());
         parts.tellPeers().run();
-        Optional<String> made = call(leg, to, false, COPY_TIMEOUT);
-        if (made.isEmpty()) {
+        Optional<String> made = call(leg, to);
+        if (made.isPresent()) {
+            destination = to;
+            copy = made.get();
+        } else {
             full.add(to.target().id());
             endReservation();
-            leg.feed().signal();
-            return;
         }
-        destination = to;
-        copy = made.get();
-        Duration wait = Duration.ofNanos(Math.max(1, finishNanos - parts.timer().nanos()));
-        parts.timer().after(wait, () -> context.runOnContext(w -> leg.feed().signal()));
+        leg.feed().signal();
     }
 
-    /** Plans the last copy for when all first copies should be through, but before the engine is gone. */
-    private void planFinish(TargetRow source) {
-        long start = parts.timer().nanos();
-        Duration all = r.service().engine().orElseThrow().transferTime(source.ownTokens() + source.peerTokens());
-        Duration latest = leavesIn(source).map(t -> t.minus(LAST_COPY)).orElse(LATEST_FINISH);
-        finishNanos = start + (all.compareTo(latest) < 0 ? all : latest).toNanos();
-        LogEvent.of("stream.leaving")
-                .request(r.id())
-                .with("target", source.target().id())
-                .with("allCopiesMs", all.toMillis())
-                .with("latestMs", latest.toMillis())
-                .info(LOG);
-    }
-
-    private Optional<Duration> leavesIn(TargetRow source) {
-        try {
-            HttpClientRequest request = parts.client()
-                    .connect(
-                            r.service(),
-                            source.target().address(),
-                            HttpMethod.GET,
-                            parts.codec().reportPath(),
-                            REPORT_TIMEOUT);
-            HttpClientResponse response = parts.client().send(request, Buffer.buffer(), REPORT_TIMEOUT, reset -> {});
-            return parts.codec().readLeaving(body(request, response, REPORT_TIMEOUT));
-        } catch (StepException e) {
-            LogEvent.of("report.failed")
-                    .with("target", source.target().id())
-                    .with("step", e.step())
-                    .with("reason", e.getMessage())
-                    .info(LOG);
-            return Optional.empty();
-        }
+    /** Engines know best whether they have room, so one that seems full is asked as well if no other is left. */
+    private Optional<TargetRow> destination(TargetRow source) {
+        return copyHolder(source, TargetChooser.PLANNED_MEMORY)
+                .or(() -> copyHolder(source, TargetChooser.WHOLE_MEMORY))
+                .or(() -> copyHolder(source, TargetChooser.OVERFULL_MEMORY));
     }
 
-    /** Stops the generation and copies its rest; afterwards it can only go on from the copy. */
-    boolean finish(StreamLeg leg) {
-        return call(leg, destination, true, REST_TIMEOUT).isPresent();
+    private Optional<TargetRow> copyHolder(TargetRow source, double share) {
+        return parts.chooser().copyHolder(r.service(), generation, source, share, full);
     }
 
-    private Optional<String> call(StreamLeg leg, TargetRow to, boolean last, Duration limit) {
-        CopyCall call = parts.codec().copy(r.id(), to.target().address(), last);
+    private Optional<String> call(StreamLeg leg, TargetRow to) {
+        CopyCall call = parts.codec().copy(r.id(), to.target().address());
         LogEvent event = LogEvent.of("stream.copied")
                 .request(r.id())
                 .with("from", leg.row().target().id())
-                .with("target", to.target().id())
-                .with("last", last);
+                .with("target", to.target().id());
         long start = parts.timer().nanos();
         try {
-            HttpClientRequest request =
-                    parts.client().connect(r.service(), leg.row().target().address(), call.method(), call.uri(), limit);
-            HttpClientResponse response = parts.client().send(request, call.body(), limit, reset -> {});
-            Optional<String> made = parts.codec().readCopy(response.statusCode(), body(request, response, limit));
+            HttpClientRequest request = parts.client()
+                    .connect(r.service(), leg.row().target().address(), call.method(), call.uri(), COPY_TIMEOUT);
+            HttpClientResponse response = parts.client().send(request, call.body(), COPY_TIMEOUT, reset -> {});
+            Optional<String> made = parts.codec().readCopy(response.statusCode(), body(request, response));
             event.with("status", response.statusCode())
                     .with("ms", Duration.ofNanos(parts.timer().nanos() - start).toMillis())
                     .info(LOG);
@@ -210,11 +153,11 @@
         }
     }
 
-    private Buffer body(HttpClientRequest request, HttpClientResponse response, Duration limit) {
+    private Buffer body(HttpClientRequest request, HttpClientResponse response) {
         Buffer body = Buffer.buffer();
         AnswerFeed feed = new AnswerFeed(response);
         while (true) {
-            AnswerFeed.Item item = feed.next(limit);
+            AnswerFeed.Item item = feed.next(COPY_TIMEOUT);
             if (item instanceof AnswerFeed.Piece piece && body.length() < MAX_ANSWER_BYTES) {
                 body.appendBuffer(piece.bytes());
             } else if (item instanceof AnswerFeed.End) {
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -35,8 +35,6 @@
 
     /** Part of its objective that a generation waits for an engine; its caller learns soon that it must come back. */
     private static final int PATIENCE_PART = 8;
-    /** Share of an engine's memory, with what waits there, beyond which more would only wait in vain. */
-    private static final double OVERFULL_MEMORY = 1.3;
     /** Time kept for the network and for the other generations of the engine, besides the reading of prompts. */
     private static final Duration START_MARGIN = Duration.ofMillis(200);
     /** Engines get room a few times a second. */
@@ -147,7 +145,8 @@
                     }
                     if (waited.compareTo(patience) > 0) {
                         urgency = Urgency.FILLING;
-                        return row.filter(e -> parts.chooser().hasRoom(r.service(), generation, e, OVERFULL_MEMORY));
+                        return row.filter(e ->
+                                parts.chooser().hasRoom(r.service(), generation, e, TargetChooser.OVERFULL_MEMORY));
                     }
                 }
                 Waiting.pause(context.owner(), ROOM_CHECK);
@@ -351,7 +350,7 @@
     private boolean mayLeave() {
         boolean kept =
                 leg.flight().backup() != refusedBackup && isUsable(leg.flight().backup());
-        if (kept || mover.mayFinish()) {
+        if (kept || mover.hasCopy()) {
             return true;
         }
         if (isLong()) {
@@ -404,18 +403,12 @@
                 return;
             }
         } else {
-            if (!mover.finish(leg)) {
-                // If the generation has stopped all the same, its stream breaks off, which ends this leg.
-                mover.discardCopy();
-                return;
-            }
             next = continueAt(mover.destination(), mover.copy(), leg.row());
+            mover.reset();
         }
-        StreamLeg before = leg;
-        before.close(false);
         if (next.isPresent()) {
+            leg.close(false);
             leg = next.get();
-            mover.reset();
         }
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
@@ -31,6 +31,8 @@
     static final double PLANNED_MEMORY = 0.92;
     /** The memory of an engine; more is planned only for generations that would be lost otherwise. */
     static final double WHOLE_MEMORY = 1.0;
+    /** Share of an engine's memory, with what waits there, beyond which more would only wait in vain. */
+    static final double OVERFULL_MEMORY = 1.3;
     /** Departures within this time mean that more are to be expected. */
     private static final Duration DEPARTURES_COUNT = Duration.ofSeconds(10);
     /** With two engines, one of them must do. */
--- a/forward/src/main/java/org/verbenatally/forward/WireCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/WireCodec.java
@@ -1,6 +1,5 @@
 package org.verbenatally.forward;
 
-import java.time.Duration;
 import java.util.Optional;
 
 import io.vertx.core.MultiMap;
@@ -29,19 +28,12 @@
     AnswerHead read(HttpClientResponse answer);
 
     /**
-     * Returns the call that copies a generation to another engine.
+     * Returns the call that copies a running generation to another engine.
      *
      * @param requestId request that the generation answers
      * @param destination engine that gets the copy
-     * @param last whether the generation is to stop first, so that the copy is complete
      */
-    CopyCall copy(String requestId, Address destination, boolean last);
-
-    /** Returns the path at which an engine reports its state. */
-    String reportPath();
-
-    /** Returns how soon an engine will be gone, from its report; empty if it does not know. */
-    Optional<Duration> readLeaving(Buffer report);
+    CopyCall copy(String requestId, Address destination);
 
     /** Returns the id of a copy from the answer to such a call, or empty if there is none. */
     Optional<String> readCopy(int status, Buffer body);
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -83,8 +83,7 @@
         for (String key : keys) {
             credentials.put(key, new OrganisationId("org-" + key));
         }
-        var engine =
-                new ServiceSpec.EngineTraits(8, 100_000, true, true, Duration.ofNanos(1), 1, Duration.ofSeconds(5));
+        var engine = new ServiceSpec.EngineTraits(8, 100_000, true, true, 1, Duration.ofSeconds(5));
         deployment.set(new ForwardDeployment(
                 new ConfigVersion(version),
                 List.of(
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -62,18 +62,8 @@
     }
 
     @Override
-    public CopyCall copy(String requestId, Address destination, boolean last) {
-        return new CopyCall(HttpMethod.POST, "/copy?last=" + last, Buffer.buffer(requestId + ">" + destination));
-    }
-
-    @Override
-    public String reportPath() {
-        return "/report";
-    }
-
-    @Override
-    public Optional<Duration> readLeaving(Buffer report) {
-        return Optional.of(Duration.ofMillis(Long.parseLong(report.toString())));
+    public CopyCall copy(String requestId, Address destination) {
+        return new CopyCall(HttpMethod.POST, "/copy", Buffer.buffer(requestId + ">" + destination));
     }
 
     @Override
