--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -22,6 +22,10 @@
     private static final int MAX_ANSWER_BYTES = 8 << 20;
     /** Targets that may turn a request away before it is refused. */
     private static final int MAX_SENDS = 3;
+    /** Rounds over all targets while none of them can be connected to; most such failures are short. */
+    private static final int MAX_ROUNDS = 3;
+
+    private static final Duration ROUND_PAUSE = Duration.ofMillis(30);
     /** A repeatable request leaves a silent target after this many objectives, while time for another is left. */
     private static final int PATIENCE_OBJECTIVES = 2;
     /** Time that an attempt needs at least to be of use. */
@@ -33,6 +37,7 @@
     private final ForwardedRequest r;
     private final CallerExchange caller;
     private final Set<TargetId> tried = new HashSet<>();
+    private int rounds;
     private int sends;
     private int runs;
     private Attempt failure;
@@ -52,6 +57,11 @@
                 return finish(CallerExchange.GATEWAY_TIMEOUT, "deadline");
             }
             Optional<TargetRow> row = parts.chooser().service(r.service().name(), tried);
+            if (row.isEmpty() && sends == 0 && ++rounds < MAX_ROUNDS) {
+                tried.clear();
+                Waiting.pause(caller.owner(), ROUND_PAUSE);
+                continue;
+            }
             if (row.isEmpty()) {
                 return finish(CallerExchange.BAD_GATEWAY, "no target");
             }
--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -8,6 +8,7 @@
 
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpHeaders;
@@ -28,6 +29,7 @@
 
     private static final double MILLIS = 1_000;
 
+    private final Vertx owner;
     private final HttpServerRequest request;
     private final HttpServerResponse response;
     private final BooleanSupplier stopping;
@@ -37,10 +39,12 @@
     /**
      * Wraps a request whose body has not been read.
      *
+     * @param owner runs the request
      * @param request the request
      * @param stopping whether connections are to be closed after their next answer
      */
-    CallerExchange(HttpServerRequest request, BooleanSupplier stopping) {
+    CallerExchange(Vertx owner, HttpServerRequest request, BooleanSupplier stopping) {
+        this.owner = Objects.requireNonNull(owner, "owner");
         this.request = Objects.requireNonNull(request, "request");
         this.response = request.response();
         this.stopping = Objects.requireNonNull(stopping, "stopping");
@@ -56,6 +60,10 @@
         }
     }
 
+    Vertx owner() {
+        return owner;
+    }
+
     HttpServerRequest request() {
         return request;
     }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -51,7 +51,7 @@
     void handle(HttpServerRequest request) {
         long start = parts.timer().nanos();
         shutdown.begin();
-        CallerExchange caller = new CallerExchange(request, shutdown::isStopping);
+        CallerExchange caller = new CallerExchange(context.owner(), request, shutdown::isStopping);
         try {
             run(caller, start);
         } catch (Rejected e) {
@@ -132,7 +132,7 @@
         while ((deployment.get().isEmpty() || !parts.directory().isKnown())
                 && !caller.isGone()
                 && parts.timer().nanos() - until < 0) {
-            Waiting.pause(context.owner(), START_CHECK);
+            Waiting.pause(caller.owner(), START_CHECK);
         }
         return deployment
                 .get()
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/RepeatAllowanceTest.java
@@ -0,0 +1,42 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.Targets.SERVICE;
+
+class RepeatAllowanceTest {
+    private static final int INSTANCES = 8;
+
+    private final ManualTimer timer = new ManualTimer();
+
+    /** Pattern: every request fails. Guards against instances that together repeat more than the rule allows. */
+    @Test
+    void allInstancesTogetherKeepTheRule() {
+        var rule = new RepeatAllowance.Rule(0.2, Duration.ofSeconds(10), 56);
+        int repeats = 0;
+        int firsts = 0;
+        for (int instance = 0; instance < INSTANCES; instance++) {
+            RepeatAllowance allowance = new RepeatAllowance(timer, rule, () -> INSTANCES);
+            for (int i = 0; i < 40; i++) {
+                allowance.first(SERVICE);
+                firsts++;
+                repeats += allowance.tryRepeat(SERVICE) ? 1 : 0;
+            }
+        }
+        assertThat(repeats).isPositive().isLessThanOrEqualTo((int) (0.2 * firsts + 56));
+    }
+
+    /** Guards against an allowance that does not come back. */
+    @Test
+    void windowSlides() {
+        var rule = new RepeatAllowance.Rule(0, Duration.ofSeconds(10), 2);
+        RepeatAllowance allowance = new RepeatAllowance(timer, rule, () -> 1);
+        assertThat(allowance.tryRepeat(SERVICE)).isTrue();
+        assertThat(allowance.tryRepeat(SERVICE)).isFalse();
+        timer.advance(Duration.ofSeconds(11));
+        assertThat(allowance.tryRepeat(SERVICE)).isTrue();
+    }
+}
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/TargetChooserTest.java
@@ -0,0 +1,131 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.Targets.HERE;
+import static org.verbenatally.forward.Targets.SERVICE;
+
+/** Decisions under the loads of a fleet whose engines are full and taken away one after another. */
+class TargetChooserTest {
+    private static final ServiceSpec ENGINES = new ServiceSpec(
+            SERVICE, 100, Optional.of(new ServiceSpec.EngineTraits(24, 34_000, true, true, 4, Duration.ofSeconds(5))));
+    private static final Generation GUIDE = new Generation(3_000, 2_000, OptionalLong.of(1_000));
+
+    private final ManualTimer timer = new ManualTimer();
+    private final TargetDirectory directory = new TargetDirectory(timer, () -> {});
+    private final TargetChooser chooser = new TargetChooser(timer, directory, HERE);
+
+    private void publish(ForwardTarget... targets) {
+        directory.published(List.of(targets));
+    }
+
+    private TargetRow row(String id) {
+        return directory.candidates(SERVICE).stream()
+                .filter(r -> r.target().id().value().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    private static List<Flight> load(TargetRow row, int generations) {
+        List<Flight> flights = new ArrayList<>();
+        for (int i = 0; i < generations; i++) {
+            flights.add(new Flight(row, null, GUIDE, () -> {}));
+        }
+        return flights;
+    }
+
+    /** Pattern: a burst of long prompts. Guards against a line of prompts at one engine while others read nothing. */
+    @Test
+    void burstOfPromptsIsSpread() {
+        publish(Targets.ready("a"), Targets.ready("b"), Targets.in("far", "c"), Targets.in("far", "d"));
+        Map<String, Integer> chosen = new HashMap<>();
+        for (int i = 0; i < 8; i++) {
+            TargetRow row = chooser.engine(ENGINES, GUIDE, Set.of()).orElseThrow();
+            load(row, 1);
+            chosen.merge(row.target().id().value(), 1, Integer::sum);
+        }
+        assertThat(chosen).containsOnlyKeys("a", "b", "c", "d");
+        assertThat(chosen.values()).allMatch(n -> n == 2);
+    }
+
+    /** Pattern: a full engine beside an empty one that has just come. Guards against memory that runs out. */
+    @Test
+    void fullEngineIsAvoided() {
+        publish(Targets.ready("full"), Targets.in("far", "empty"));
+        load(row("full"), 9).forEach(f -> f.made(1));
+        for (int i = 0; i < 5; i++) {
+            TargetRow row = chooser.engine(ENGINES, GUIDE, Set.of()).orElseThrow();
+            assertThat(row.target().id().value()).isEqualTo("empty");
+        }
+    }
+
+    /** Pattern: engines taken away one after another. Guards against a fleet too full to take what has to move. */
+    @Test
+    void memoryOfOneEngineIsKeptFreeWhileEnginesLeave() {
+        publish(Targets.ready("a"), Targets.ready("b"), Targets.ready("c"), Targets.ready("d"));
+        double calm = chooser.newWorkShare(SERVICE);
+        publish(Targets.ready("a"), Targets.ready("b"), Targets.ready("c"), Targets.leaving("d"));
+        double leaving = chooser.newWorkShare(SERVICE);
+        assertThat(leaving * 3).isLessThanOrEqualTo(2.0 + 1e-9).isGreaterThan(1.5);
+        timer.advance(Duration.ofSeconds(11));
+        assertThat(chooser.newWorkShare(SERVICE)).isEqualTo(calm);
+    }
+
+    /** Pattern: memory nearly full. Guards against standing copies that push out generations. */
+    @Test
+    void standingCopiesNeedAmpleMemory() {
+        publish(Targets.ready("source"), Targets.ready("other"));
+        assertThat(chooser.copyHolder(ENGINES, GUIDE, row("source"), TargetChooser.STANDING_COPIES, Set.of()))
+                .contains(row("other"));
+        load(row("other"), 6);
+        assertThat(chooser.copyHolder(ENGINES, GUIDE, row("source"), TargetChooser.STANDING_COPIES, Set.of()))
+                .isEmpty();
+        assertThat(chooser.copyHolder(ENGINES, GUIDE, row("source"), TargetChooser.PLANNED_MEMORY, Set.of()))
+                .contains(row("other"));
+    }
+
+    /** Pattern: copies on short notice. Guards against copies over the slow links between failure domains. */
+    @Test
+    void copiesStayInTheFailureDomainOfTheirSource() {
+        publish(Targets.in("far", "source"), Targets.in("far", "near"), Targets.ready("a"), Targets.ready("b"));
+        load(row("near"), 3);
+        assertThat(chooser.copyHolder(ENGINES, GUIDE, row("source"), TargetChooser.PLANNED_MEMORY, Set.of()))
+                .contains(row("near"));
+    }
+
+    /** Pattern: a target that fails part of its requests though its health is good. */
+    @Test
+    void failingTargetGetsLittle() {
+        publish(Targets.ready("good"), Targets.ready("bad"), Targets.ready("fair"));
+        for (int i = 0; i < 20; i++) {
+            row("bad").answered(i % 2 == 0, timer.nanos());
+        }
+        int bad = 0;
+        for (int i = 0; i < 100; i++) {
+            TargetRow row = chooser.service(SERVICE, Set.of()).orElseThrow();
+            bad += row.target().id().value().equals("bad") ? 1 : 0;
+        }
+        assertThat(bad).isZero();
+        timer.advance(Duration.ofSeconds(60));
+        Set<String> later = new java.util.HashSet<>();
+        for (int i = 0; i < 100; i++) {
+            later.add(chooser.service(SERVICE, Set.of())
+                    .orElseThrow()
+                    .target()
+                    .id()
+                    .value());
+        }
+        assertThat(later).containsAll(Arrays.asList("good", "bad", "fair"));
+    }
+}
