Part admission from the life of a generation; end every booking with it

Cause: a copy that was made but not used, because the generation ended first, stayed booked at its engine, which then looked fuller than it was; found by reading. Change: the life of a generation ends its leg and its copy in any case; the decision when and where to start is a class of its own.

--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
@@ -0,0 +1,76 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+import org.verbenatally.core.TargetId;
+
+/**
+ * Decides when and where a generation starts: at once where it can be on time, else after a short wait, else as filling
+ * work that yields to others, and not at all where it would only wait in vain.
+ */
+final class EngineAdmission {
+    /** Part of its objective that a generation waits for an engine; its caller learns soon that it must come back. */
+    private static final int PATIENCE_PART = 8;
+    /** Time kept for the network and for the other generations of the engine, besides the reading of prompts. */
+    private static final Duration START_MARGIN = Duration.ofMillis(200);
+    /** Engines get room a few times a second. */
+    private static final Duration ROOM_CHECK = Duration.ofMillis(25);
+
+    private final ForwardParts parts;
+
+    /**
+     * Where a generation starts.
+     *
+     * @param row the engine
+     * @param urgency its rank there
+     */
+    record Admitted(TargetRow row, Urgency urgency) {}
+
+    EngineAdmission(ForwardParts parts) {
+        this.parts = Objects.requireNonNull(parts, "parts");
+    }
+
+    /** Returns the engine for a generation, after waiting shortly for room; empty if all are too full. */
+    Optional<Admitted> await(ForwardedRequest r, Generation generation, CallerExchange caller, Set<TargetId> exclude) {
+        long start = parts.timer().nanos();
+        Duration patience = r.route().objective().dividedBy(PATIENCE_PART);
+        WaitingLine.Place place =
+                parts.line().enter(r.service().name(), r.route().priority(), start + patience.toNanos());
+        if (place == null) {
+            return Optional.empty();
+        }
+        try {
+            while (!caller.isGone()) {
+                if (parts.line().isNext(r.service().name(), place)) {
+                    Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, exclude);
+                    Duration waited = Duration.ofNanos(parts.timer().nanos() - start);
+                    if (row.isEmpty() || mayStart(r, generation, row.get(), waited)) {
+                        return row.map(engine -> new Admitted(engine, Urgency.NORMAL));
+                    }
+                    if (waited.compareTo(patience) > 0) {
+                        return row.filter(engine -> parts.chooser()
+                                        .hasRoom(r.service(), generation, engine, TargetChooser.OVERFULL_MEMORY))
+                                .map(engine -> new Admitted(engine, Urgency.FILLING));
+                    }
+                }
+                Waiting.pause(caller.owner(), ROOM_CHECK);
+            }
+            return Optional.empty();
+        } finally {
+            parts.line().leave(r.service().name(), place);
+        }
+    }
+
+    /** Tells whether an engine has the memory for a generation, and can read its prompt in time. */
+    private boolean mayStart(ForwardedRequest r, Generation generation, TargetRow row, Duration waited) {
+        Duration limit = r.route().objective().minus(waited).minus(START_MARGIN);
+        // Short generations end before they would have to move.
+        double share =
+                generation.isLong() ? parts.chooser().newWorkShare(r.service().name()) : TargetChooser.PLANNED_MEMORY;
+        return parts.chooser().hasRoom(r.service(), generation, row, share)
+                && parts.chooser().readTime(row, generation).compareTo(limit) <= 0;
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/Flight.java
+++ b/forward/src/main/java/org/verbenatally/forward/Flight.java
@@ -55,6 +55,10 @@
         made = tokens;
     }
 
+    boolean hasEnded() {
+        return ended.get();
+    }
+
     void targetLeaves() {
         onLeaving.run();
     }
--- a/forward/src/main/java/org/verbenatally/forward/Generation.java
+++ b/forward/src/main/java/org/verbenatally/forward/Generation.java
@@ -11,9 +11,17 @@
  */
 public record Generation(long promptTokens, long maxTokens, OptionalLong expectedTokens) {
 
+    /** Generations that are expected to make fewer tokens end before a copy of them would be of use. */
+    private static final long LEAST_LONG_TOKENS = 100;
+
     /** Stands for a generation whose caller tells nothing about it. */
     static final Generation UNKNOWN = new Generation(1_000, 1_000, OptionalLong.empty());
 
+    /** Tells whether the generation is likely to outlive the notice that its engine leaves. */
+    boolean isLong() {
+        return expectedTokens.orElse(maxTokens) >= LEAST_LONG_TOKENS;
+    }
+
     /**
      * Returns the tokens that the generation is expected to make yet. One that has outgrown the estimate is likely to
      * go on for about half as long again.
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -110,7 +110,7 @@
         reservation = () -> to.dropCopy(leg.flight());
         parts.tellPeers().run();
         Optional<String> made = call(leg, to);
-        if (made.isPresent()) {
+        if (made.isPresent() && !leg.flight().hasEnded()) {
             destination = to;
             copy = made.get();
         } else {
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -30,20 +30,12 @@
     private static final int MAX_CONTINUATIONS = 8;
     /** A stream without an event for this many gap targets goes on elsewhere: its engine is dead or far too full. */
     private static final int SILENT_GAPS = 5;
-    /** Generations that are expected to make fewer tokens end before a copy of them would be of use. */
-    private static final long LEAST_TOKENS_TO_COPY = 100;
-
-    /** Part of its objective that a generation waits for an engine; its caller learns soon that it must come back. */
-    private static final int PATIENCE_PART = 8;
-    /** Time kept for the network and for the other generations of the engine, besides the reading of prompts. */
-    private static final Duration START_MARGIN = Duration.ofMillis(200);
-    /** Engines get room a few times a second. */
-    private static final Duration ROOM_CHECK = Duration.ofMillis(25);
 
     private static final Duration LEAST_TIME = Duration.ofMillis(20);
     /** Room for a long generation comes with the end of another, or with a new engine; both take seconds. */
     private static final Duration RETRY_AFTER = Duration.ofMillis(1_500);
 
+    /** Callers that were refused together should not come back together. */
     private static final Duration RETRY_SPREAD = Duration.ofMillis(1_000);
     /** Gap target of routes that state none. */
     private static final Duration DEFAULT_GAP = Duration.ofMillis(500);
@@ -55,6 +47,7 @@
     private final Generation generation;
     private final CallerExchange caller;
     private final Context context;
+    private final EngineAdmission admission;
     private final StreamMover mover;
     private final Set<TargetId> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
@@ -83,13 +76,22 @@
         this.generation = Objects.requireNonNull(generation, "generation");
         this.caller = Objects.requireNonNull(caller, "caller");
         this.context = Objects.requireNonNull(context, "context");
+        this.admission = new EngineAdmission(parts);
         this.mover = new StreamMover(parts, r, generation, context);
     }
 
     /** Runs the generation to its end and returns its outcome, for logs and metrics. */
     String run() {
         long start = parts.timer().nanos();
-        String outcome = serve();
+        String outcome;
+        try {
+            outcome = serve();
+        } finally {
+            if (leg != null) {
+                leg.close(false);
+            }
+            mover.reset();
+        }
         LogEvent.of("stream.ended")
                 .request(r.id())
                 .with("firstMs", piecesPassed == 0 ? -1 : TimeUnit.NANOSECONDS.toMillis(firstPieceNanos - start))
@@ -105,11 +107,11 @@
             if (r.left(parts.timer().nanos()).compareTo(LEAST_TIME) < 0) {
                 return refuse("deadline");
             }
-            Optional<TargetRow> row = awaitEngine();
+            Optional<EngineAdmission.Admitted> admitted = admission.await(r, generation, caller, tried);
             if (caller.isGone()) {
                 return "caller left";
             }
-            if (row.isEmpty()) {
+            if (admitted.isEmpty()) {
                 return refuse("no engine with room");
             }
             if (sends == 0) {
@@ -118,7 +120,8 @@
                     || !parts.repeats().tryRepeat(r.service().name())) {
                 return refuse("no repeat allowed");
             }
-            Optional<String> outcome = start(row.get());
+            urgency = admitted.get().urgency();
+            Optional<String> outcome = start(admitted.get().row());
             if (outcome.isPresent()) {
                 return outcome.get();
             }
@@ -126,46 +129,6 @@
         return "caller left";
     }
 
-    /** Returns the engine for the generation, after waiting until one has room; empty if that takes too long. */
-    private Optional<TargetRow> awaitEngine() {
-        long start = parts.timer().nanos();
-        Duration patience = r.route().objective().dividedBy(PATIENCE_PART);
-        WaitingLine.Place place =
-                parts.line().enter(r.service().name(), r.route().priority(), start + patience.toNanos());
-        if (place == null) {
-            return Optional.empty();
-        }
-        try {
-            while (!caller.isGone()) {
-                if (parts.line().isNext(r.service().name(), place)) {
-                    Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, tried);
-                    Duration waited = Duration.ofNanos(parts.timer().nanos() - start);
-                    if (row.isEmpty() || mayStart(row.get(), waited)) {
-                        return row;
-                    }
-                    if (waited.compareTo(patience) > 0) {
-                        urgency = Urgency.FILLING;
-                        return row.filter(e ->
-                                parts.chooser().hasRoom(r.service(), generation, e, TargetChooser.OVERFULL_MEMORY));
-                    }
-                }
-                Waiting.pause(context.owner(), ROOM_CHECK);
-            }
-            return Optional.empty();
-        } finally {
-            parts.line().leave(r.service().name(), place);
-        }
-    }
-
-    /** Tells whether an engine has the memory, and can read the prompt in time; if it is late anyway, soon. */
-    private boolean mayStart(TargetRow row, Duration waited) {
-        Duration limit = r.route().objective().minus(waited).minus(START_MARGIN);
-        // Short generations end before they would have to move.
-        double share = isLong() ? parts.chooser().newWorkShare(r.service().name()) : TargetChooser.PLANNED_MEMORY;
-        return parts.chooser().hasRoom(r.service(), generation, row, share)
-                && parts.chooser().readTime(row, generation).compareTo(limit) <= 0;
-    }
-
     private String refuse(String reason) {
         LogEvent.of("request.unserved")
                 .request(r.id())
@@ -238,8 +201,7 @@
 
     private Flight book(TargetRow row) {
         boolean copied =
-                r.service().engine().filter(ServiceSpec.EngineTraits::backups).isPresent()
-                        && generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
+                r.service().engine().filter(ServiceSpec.EngineTraits::backups).isPresent() && generation.isLong();
         TargetRow backup = copied
                 ? parts.chooser()
                         .copyHolder(r.service(), generation, row, TargetChooser.STANDING_COPIES, Set.of())
@@ -276,6 +238,7 @@
                     AnswerHead head = leg.attempt().head();
                     leg.row().answered(head.isServerError(), parts.timer().nanos());
                     leg.close(true);
+                    leg = null;
                     caller.end();
                     return head.isSuccess() ? "served" : "target failed";
                 }
@@ -353,16 +316,12 @@
         if (kept || mover.hasCopy()) {
             return true;
         }
-        if (isLong()) {
+        if (generation.isLong()) {
             mover.begin(leg);
         }
         return false;
     }
 
-    private boolean isLong() {
-        return generation.expectedTokens().orElse(generation.maxTokens()) >= LEAST_TOKENS_TO_COPY;
-    }
-
     private boolean isUsable(TargetRow row) {
         return row != null
                 && !parts.directory().isLeaving(row)
