Decide about a generation when its short wait is over, whoever else waits

Change: the end of the wait is decided by each for itself. Before / after: EngineAdmissionTest: a burst of 20 at an engine with room for 12 is answered at once, 8 with a time to come back.

--- a/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
+++ b/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
@@ -44,13 +44,14 @@
         }
         try {
             while (!caller.isGone()) {
-                if (parts.line().isNext(r.service().name(), place)) {
+                Duration waited = Duration.ofNanos(parts.timer().nanos() - start);
+                boolean patient = waited.compareTo(patience) <= 0;
+                if (!patient || parts.line().isNext(r.service().name(), place)) {
                     Optional<TargetRow> row = parts.chooser().engine(r.service(), generation, exclude);
-                    Duration waited = Duration.ofNanos(parts.timer().nanos() - start);
                     if (row.isEmpty() || mayStart(r, generation, row.get(), waited)) {
                         return row.map(engine -> new Admitted(engine, Urgency.NORMAL));
                     }
-                    if (waited.compareTo(patience) > 0) {
+                    if (!patient) {
                         return row.filter(engine -> parts.chooser()
                                         .hasRoom(r.service(), generation, engine, TargetChooser.OVERFULL_MEMORY))
                                 .map(engine -> new Admitted(engine, Urgency.FILLING));
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/EngineAdmissionTest.java
@@ -0,0 +1,55 @@
+package org.verbenatally.forward;
+
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class EngineAdmissionTest {
+
+    /** Pattern: a burst at a full fleet. Guards against callers that are held although no engine can serve them. */
+    @Test
+    void burstAtFullEnginesIsAnsweredAtOnce() throws Exception {
+        try (var fixture = new ForwardFixture();
+                var engine = new RawTarget((head, out, socket) -> {
+                    Thread.sleep(100_000);
+                    return false;
+                })) {
+            fixture.configure(1);
+            fixture.publish("engine", ForwardFixture.ENGINES, engine);
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                String id = "r" + i;
+                answers.add(CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return fixture.send(fixture.request("/stream/x", id)
+                                        .header(TestCodec.TOKENS, "40000")
+                                        .build());
+                            } catch (Exception e) {
+                                throw new CompletionException(e);
+                            }
+                        },
+                        task -> Thread.ofVirtual().start(task)));
+            }
+            int refused = 0;
+            for (var answer : answers) {
+                HttpResponse<String> response = answer.get(30, TimeUnit.SECONDS);
+                if (response.statusCode() == 503) {
+                    refused++;
+                    assertThat(response.headers().firstValue("Retry-After")).isPresent();
+                }
+            }
+            // The engine has 100,000 tokens of memory and is offered up to 1.3 of it; a generation is planned with
+            // 100 tokens to read and half of the 20,000 that it is expected to make, so 12 are offered.
+            assertThat(refused).isEqualTo(8);
+            assertThat(engine.requests()).hasSize(20 - refused);
+        }
+    }
+}
