Keep one timed wait and one form of the attempt's log lines

Cause: forward had its own copy of the timed wait of entry, and two copies of two log lines. Change: TimedAwait moves to the package time of core, with its test; Attempt writes its own lines. Conclusion: the argument handling of the main classes is still alike in five places.

--- a/forward/src/main/java/org/verbenatally/forward/Waiting.java
+++ b/core/src/main/java/org/verbenatally/time/TimedAwait.java
@@ -1,4 +1,4 @@
-package org.verbenatally.forward;
+package org.verbenatally.time;
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
@@ -8,25 +8,27 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 
-/** Waits for futures in a virtual-thread task. */
-final class Waiting {
-    private Waiting() {}
-
-    /** Lets the given time pass. */
-    static void pause(Vertx vertx, Duration time) {
-        Promise<Void> over = Promise.promise();
-        vertx.setTimer(Math.max(1, time.toMillis()), id -> over.complete());
-        over.future().await();
-    }
+/**
+ * Waits in a virtual-thread task. {@link Future#await(long, TimeUnit)} of Vert.x 5.0.7 must not be used: after a
+ * timeout the next wait of the same task fails with an {@link IllegalStateException}.
+ */
+public final class TimedAwait {
+    private TimedAwait() {}
 
     /**
-     * Waits until a future has completed. A wait with a limit of Vert.x 5.0.7 itself leaves the task unusable after a
-     * timeout, so the limit is put on the future.
+     * Waits until the future has completed.
      *
      * @throws TimeoutException if it has not completed within the limit, which is at least one millisecond
      */
-    static <T> T await(Future<T> future, Duration limit) throws TimeoutException {
+    public static <T> T await(Future<T> future, Duration limit) throws TimeoutException {
         return future.timeout(Math.max(1, limit.toMillis()), TimeUnit.MILLISECONDS)
                 .await();
     }
+
+    /** Lets the given time pass, at least one millisecond. */
+    public static void pause(Vertx vertx, Duration time) {
+        Promise<Void> over = Promise.promise();
+        vertx.setTimer(Math.max(1, time.toMillis()), id -> over.complete());
+        over.future().await();
+    }
 }
--- a/entry/src/test/java/org/verbenatally/entry/target/TimedAwaitTest.java
+++ b/core/src/test/java/org/verbenatally/time/TimedAwaitTest.java
@@ -1,4 +1,4 @@
-package org.verbenatally.entry.target;
+package org.verbenatally.time;
 
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
--- a/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EventWriter.java
@@ -8,7 +8,7 @@
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
 import org.jboss.logging.Logger;
-import org.verbenatally.entry.target.TimedAwait;
+import org.verbenatally.time.TimedAwait;
 
 /** Writes server-sent events to one caller, with keep-alives and a bounded buffer. */
 final class EventWriter {
--- a/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
@@ -16,7 +16,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.entry.operator.RequestTrace;
-import org.verbenatally.entry.target.TimedAwait;
+import org.verbenatally.time.TimedAwait;
 
 /** One request of a caller with its answer. Used by one virtual-thread task. */
 final class Exchange {
--- a/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/HttpExchange.java
@@ -17,6 +17,7 @@
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.verbenatally.config.Target;
+import org.verbenatally.time.TimedAwait;
 
 /** The HTTP clients that all exchanges with targets share. Methods wait and must run in a virtual-thread task. */
 final class HttpExchange {
--- a/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
+++ b/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
@@ -8,6 +8,7 @@
 import io.vertx.core.Promise;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
+import org.verbenatally.time.TimedAwait;
 
 /**
  * Reads the body of one answer piece by piece, in the task that asks for it. Also carries signals to that task. All
@@ -83,7 +84,7 @@
         if (items.isEmpty() && !signalled) {
             arrived = Promise.promise();
             try {
-                Waiting.await(arrived.future(), limit);
+                TimedAwait.await(arrived.future(), limit);
             } catch (TimeoutException e) {
                 return new Silent();
             } finally {
--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -82,6 +82,26 @@
         }
     }
 
+    /** Logs that the target has not run the request, or has no copy to go on from. */
+    void logNotRun(ForwardedRequest r) {
+        LogEvent.of("attempt.notRun")
+                .request(r.id())
+                .with("target", row.target().id())
+                .with("status", head.status())
+                .info(LOG);
+    }
+
+    /** Logs that a send failed. */
+    static void logFailure(ForwardedRequest r, TargetRow row, StepException e) {
+        LogEvent.of("attempt.failed")
+                .request(r.id())
+                .with("target", row.target().id())
+                .with("step", e.step())
+                .with("outcome", e.outcome())
+                .with("reason", e.getMessage())
+                .info(LOG);
+    }
+
     /** Ends the exchange without reading the rest of its answer. */
     void drop() {
         request.reset();
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -13,6 +13,7 @@
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.time.TimedAwait;
 
 /** The life of one request to a plain service: its answer is held until it is whole, then passed on unchanged. */
 final class CallRun {
@@ -59,7 +60,7 @@
             Optional<TargetRow> row = parts.chooser().service(r.service().name(), tried);
             if (row.isEmpty() && sends == 0 && ++rounds < MAX_ROUNDS) {
                 tried.clear();
-                Waiting.pause(caller.owner(), ROUND_PAUSE);
+                TimedAwait.pause(caller.owner(), ROUND_PAUSE);
                 continue;
             }
             if (row.isEmpty()) {
@@ -119,13 +120,7 @@
 
     private Optional<String> lost(TargetRow row, StepException e) {
         long now = parts.timer().nanos();
-        LogEvent.of("attempt.failed")
-                .request(r.id())
-                .with("target", row.target().id())
-                .with("step", e.step())
-                .with("outcome", e.outcome())
-                .with("reason", e.getMessage())
-                .info(LOG);
+        Attempt.logFailure(r, row, e);
         if (caller.isGone()) {
             return Optional.of("caller left");
         }
@@ -154,11 +149,7 @@
         long now = parts.timer().nanos();
         row.answered(head.notRun() || head.isServerError(), now);
         if (head.notRun()) {
-            LogEvent.of("attempt.notRun")
-                    .request(r.id())
-                    .with("target", row.target().id())
-                    .with("status", head.status())
-                    .info(LOG);
+            attempt.logNotRun(r);
             return Optional.empty();
         }
         runs++;
--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -14,6 +14,7 @@
 import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpServerRequest;
 import io.vertx.core.http.HttpServerResponse;
+import org.verbenatally.time.TimedAwait;
 
 /** One request of a caller and its answer. All methods must be called on the context of the request. */
 final class CallerExchange {
@@ -105,7 +106,7 @@
         request.endHandler(v -> whole.tryComplete(true));
         onGone = () -> whole.tryFail("caller has left");
         request.resume();
-        if (!Waiting.await(whole.future(), limit)) {
+        if (!TimedAwait.await(whole.future(), limit)) {
             throw new BodyTooLarge();
         }
         return body;
@@ -162,7 +163,7 @@
             Promise<Void> drained = Promise.promise();
             response.drainHandler(v -> drained.tryComplete());
             try {
-                Waiting.await(drained.future(), SLOW_READER);
+                TimedAwait.await(drained.future(), SLOW_READER);
             } catch (TimeoutException e) {
                 abort();
             }
--- a/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
+++ b/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 
 import org.verbenatally.core.TargetId;
+import org.verbenatally.time.TimedAwait;
 
 /**
  * Decides when and where a generation starts: at once where it can be on time, else after a short wait, else as filling
@@ -57,7 +58,7 @@
                                 .map(engine -> new Admitted(engine, Urgency.FILLING));
                     }
                 }
-                Waiting.pause(caller.owner(), ROOM_CHECK);
+                TimedAwait.pause(caller.owner(), ROOM_CHECK);
             }
             return Optional.empty();
         } finally {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -12,6 +12,7 @@
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.OrganisationId;
+import org.verbenatally.time.TimedAwait;
 
 /** Takes the requests of callers: finds their route, checks them and runs each in the task that accepted it. */
 final class ForwardHandler {
@@ -132,7 +133,7 @@
         while ((deployment.get().isEmpty() || !parts.directory().isKnown())
                 && !caller.isGone()
                 && parts.timer().nanos() - until < 0) {
-            Waiting.pause(caller.owner(), START_CHECK);
+            TimedAwait.pause(caller.owner(), START_CHECK);
         }
         return deployment
                 .get()
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -16,6 +16,7 @@
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.time.TimedAwait;
 
 /**
  * Copies a generation from an engine that is about to leave to another one while it runs, for generations of which no
@@ -101,7 +102,7 @@
         if (row.isEmpty()) {
             LogEvent.of("stream.noDestination").request(r.id()).info(LOG);
             full.clear();
-            Waiting.pause(context.owner(), NEXT_TRY);
+            TimedAwait.pause(context.owner(), NEXT_TRY);
             leg.feed().signal();
             return;
         }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -152,7 +152,7 @@
                 attempt.drop();
                 flight.end();
                 row.answered(true, parts.timer().nanos());
-                logRefusal("attempt.notRun", row, attempt.head().status());
+                attempt.logNotRun(r);
                 return Optional.empty();
             }
             if (attempt.head().isForeign(r.id())) {
@@ -162,7 +162,7 @@
             }
             leg = new StreamLeg(flight, attempt);
         } catch (StepException e) {
-            logFailure(row, e);
+            Attempt.logFailure(r, row, e);
             flight.end();
             if (e.outcome() == Outcome.NOT_RUN) {
                 sends--;
@@ -181,24 +181,6 @@
         return Optional.of(deliver());
     }
 
-    private void logRefusal(String event, TargetRow row, int status) {
-        LogEvent.of(event)
-                .request(r.id())
-                .with("target", row.target().id())
-                .with("status", status)
-                .info(LOG);
-    }
-
-    private void logFailure(TargetRow row, StepException e) {
-        LogEvent.of("attempt.failed")
-                .request(r.id())
-                .with("target", row.target().id())
-                .with("step", e.step())
-                .with("outcome", e.outcome())
-                .with("reason", e.getMessage())
-                .info(LOG);
-    }
-
     private Flight book(TargetRow row) {
         boolean copied =
                 r.service().engine().filter(ServiceSpec.EngineTraits::backups).isPresent() && generation.isLong();
@@ -407,7 +389,7 @@
             if (head.notRun() || !head.isSuccess() || head.isForeign(r.id())) {
                 attempt.drop();
                 flight.end();
-                logRefusal("stream.copyRefused", row, head.status());
+                attempt.logNotRun(r);
                 return Optional.empty();
             }
             parts.metrics().count("continued");
@@ -420,7 +402,7 @@
             refusedBackup = null;
             return Optional.of(new StreamLeg(flight, attempt));
         } catch (StepException e) {
-            logFailure(row, e);
+            Attempt.logFailure(r, row, e);
             flight.end();
             return Optional.empty();
         }
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -29,6 +29,7 @@
 import org.verbenatally.core.ServiceName;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.time.TimedAwait;
 
 /**
  * Sends requests to targets over kept connections. Methods wait and must run in a virtual-thread task. Failures are
@@ -91,7 +92,7 @@
                 .onSuccess(request -> request.exceptionHandler(e -> {}));
         Duration wait = limit.compareTo(CONNECT_TIMEOUT) < 0 ? limit : CONNECT_TIMEOUT;
         try {
-            return Waiting.await(future, wait);
+            return TimedAwait.await(future, wait);
         } catch (TimeoutException e) {
             future.onSuccess(HttpClientRequest::reset);
             throw notSent(address, "no connection within " + wait.toMillis() + " ms", e);
@@ -118,7 +119,7 @@
         onSent.accept(request::reset);
         String peer = String.valueOf(request.connection().remoteAddress());
         try {
-            return Waiting.await(answer, limit);
+            return TimedAwait.await(answer, limit);
         } catch (TimeoutException e) {
             request.reset();
             String message = "no answer within " + limit.toMillis() + " ms";
@@ -143,7 +144,7 @@
         if (headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
             return false;
         }
-        Waiting.pause(vertx, FAILURE_REPORT);
+        TimedAwait.pause(vertx, FAILURE_REPORT);
         return failed.contains(answer.request().connection());
     }
 
