Check that no booking outlives a generation

Change: ForwardServerTest checks the bookings after a move, and after a copy that came too late to be used. Conclusion: none.

--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -276,6 +276,56 @@
             fixture.leave("leaving");
             assertThat(answer.get(10, java.util.concurrent.TimeUnit.SECONDS).body())
                     .isEqualTo(events(1, 10));
+            awaitNoLoad();
         }
     }
+
+    /** Guards against a copy that stays booked, and makes its engine look full, because the generation ended first. */
+    @Test
+    void unusedCopyIsNotBookedForEver() throws Exception {
+        CompletableFuture<Void> copying = new CompletableFuture<>();
+        CompletableFuture<Void> ended = new CompletableFuture<>();
+        RawTarget.Script ending = (head, out, socket) -> {
+            if (head.startsWith("POST /copy")) {
+                copying.complete(null);
+                ended.join();
+                RawTarget.write(out, whole(head, "copy-1"));
+                return true;
+            }
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(1, 4));
+            copying.join();
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        };
+        try (var engine = new RawTarget(ending);
+                var other = holder()) {
+            fixture.configure(1);
+            fixture.publish("leaving", ENGINES, engine);
+            CompletableFuture<String> answer = new CompletableFuture<>();
+            Thread.ofVirtual().start(() -> {
+                try {
+                    answer.complete(generate("r1").body());
+                } catch (Exception e) {
+                    answer.completeExceptionally(e);
+                }
+            });
+            while (engine.requests().isEmpty()) {
+                Thread.sleep(5);
+            }
+            fixture.publish("other", ENGINES, other);
+            fixture.leave("leaving");
+            assertThat(answer.get(20, java.util.concurrent.TimeUnit.SECONDS)).isEqualTo(events(1, 4));
+            ended.complete(null);
+            awaitNoLoad();
+        }
+    }
+
+    private void awaitNoLoad() throws InterruptedException {
+        long until = System.nanoTime() + java.time.Duration.ofSeconds(10).toNanos();
+        while (!fixture.server.directory().ownLoads().isEmpty() && System.nanoTime() < until) {
+            Thread.sleep(10);
+        }
+        assertThat(fixture.server.directory().ownLoads()).isEmpty();
+    }
 }
