Take no call while stopping that the process does not outlive

A call that came 7.77 s after SIGTERM was taken and sent; the process ended at 7.80 s with three requests open, as its grace period of 8 s was nearly over. Ruled out: the target, which had answered within 50 ms. Change: a stopping instance takes a call only if its patience ends before the process does, and refuses whatever comes between the last open request and its end.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -99,11 +99,11 @@
         Optional<OrganisationId> organisation = organisation(d, route, head);
         ServiceSpec service = d.service(route.service(head.id().hashCode()))
                 .orElseThrow(() -> new Rejected(CallerExchange.UNAVAILABLE, "route names an unknown service"));
-        if (!shutdown.accepts(route.repetition())) {
-            throw new Rejected(CallerExchange.UNAVAILABLE, "this instance is stopping");
-        }
         Duration patience =
                 head.patience().filter(p -> p.compareTo(route.timeout()) < 0).orElse(route.timeout());
+        if (!shutdown.accepts(route.repetition(), patience)) {
+            throw new Rejected(CallerExchange.UNAVAILABLE, "this instance is stopping");
+        }
         ForwardedRequest r = new ForwardedRequest(head, route, service, organisation, body, start + patience.toNanos());
         LogEvent.of("request.accepted")
                 .request(r.id())
--- a/forward/src/main/java/org/verbenatally/forward/Shutdown.java
+++ b/forward/src/main/java/org/verbenatally/forward/Shutdown.java
@@ -28,6 +28,7 @@
     private final AtomicInteger open = new AtomicInteger();
     private final CompletableFuture<Void> done = new CompletableFuture<>();
     private volatile boolean stopping;
+    private volatile boolean closing;
     private volatile long startNanos;
 
     Shutdown(TimerService timer, Duration grace) {
@@ -55,13 +56,24 @@
         return Duration.ofNanos(timer.nanos() - startNanos);
     }
 
-    /** Tells whether a new request may still end within the grace period. */
-    boolean accepts(Repetition repetition) {
+    /**
+     * Tells whether a new request is taken. While stopping, a call is taken only if the process outlives it, whatever
+     * its target does; generations are taken until the load balancer has noticed.
+     *
+     * @param repetition kind of the request
+     * @param patience longest time until its answer
+     */
+    boolean accepts(Repetition repetition, Duration patience) {
         if (!stopping) {
             return true;
         }
-        boolean longLived = repetition == Repetition.GENERATION;
-        return !longLived || elapsed().toNanos() < ACCEPTING_PART * grace.toNanos();
+        if (closing) {
+            return false;
+        }
+        Duration elapsed = elapsed();
+        return repetition == Repetition.GENERATION
+                ? elapsed.toNanos() < ACCEPTING_PART * grace.toNanos()
+                : elapsed.plus(patience).compareTo(grace.minus(EXIT_TIME)) < 0;
     }
 
     /** Starts the shutdown; completes when the process may end. */
@@ -75,10 +87,14 @@
         return done;
     }
 
-    private void check() {
+    /** Ends the shutdown once nothing was open at two checks in a row; requests in between are refused. */
+    void check() {
         Duration elapsed = elapsed();
         boolean idle = open.get() == 0 && elapsed.compareTo(BALANCER_LAG) > 0;
-        if ((idle || elapsed.compareTo(grace.minus(EXIT_TIME)) > 0) && !done.isDone()) {
+        boolean idleBefore = closing;
+        closing = closing || idle;
+        boolean over = elapsed.compareTo(grace.minus(EXIT_TIME)) > 0;
+        if ((idle && idleBefore || over) && !done.isDone()) {
             LogEvent.of("instance.stopped")
                     .with("open", open.get())
                     .with("ms", elapsed.toMillis())
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ShutdownTest.java
@@ -0,0 +1,54 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ShutdownTest {
+    private static final Duration PATIENCE = Duration.ofMillis(1_200);
+
+    private final ManualTimer timer = new ManualTimer();
+    private final Shutdown shutdown = new Shutdown(timer, Duration.ofSeconds(8));
+
+    private boolean acceptsCall() {
+        return shutdown.accepts(Repetition.IDEMPOTENT, PATIENCE);
+    }
+
+    /** Guards against a call that is taken shortly before the end of the process and cut off by it. */
+    @Test
+    void lateCallsAreRefused() {
+        shutdown.start();
+        assertThat(acceptsCall()).isTrue();
+        timer.advance(Duration.ofMillis(7_700));
+        assertThat(acceptsCall()).isFalse();
+    }
+
+    /** Guards against an end while a request is open, and against a request that is read just before the end. */
+    @Test
+    void endsOnlyWhenNothingIsOpen() {
+        shutdown.begin();
+        var done = shutdown.start();
+        timer.advance(Duration.ofSeconds(4));
+        shutdown.check();
+        shutdown.check();
+        assertThat(done).isNotDone();
+        shutdown.end();
+        shutdown.check();
+        assertThat(done).isNotDone();
+        assertThat(acceptsCall()).isFalse();
+        shutdown.check();
+        assertThat(done).isDone();
+    }
+
+    /** Guards against a process that outlives its grace period and is killed in the middle of a write. */
+    @Test
+    void endsBeforeTheGracePeriodIsOver() {
+        shutdown.begin();
+        var done = shutdown.start();
+        timer.advance(Duration.ofMillis(7_800));
+        shutdown.check();
+        assertThat(done).isDone();
+    }
+}
