Remove methods of forwarding that nothing calls

Cause: found by reading the whole change: RepeatAllowance.repeats and seconds, and TargetClient.close, have no caller. Change: they are gone. Before / after: no change of behaviour; formatter, linter and 24 tests of forward and platform pass.

--- a/forward/src/main/java/org/verbenatally/forward/RepeatAllowance.java
+++ b/forward/src/main/java/org/verbenatally/forward/RepeatAllowance.java
@@ -6,7 +6,6 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
-import java.util.concurrent.TimeUnit;
 import java.util.function.IntSupplier;
 
 import org.verbenatally.core.ServiceName;
@@ -84,13 +83,4 @@
         }
         return allowed;
     }
-
-    /** Returns the repeats of the present window, for reports. */
-    synchronized int repeats(ServiceName service) {
-        return counts(service).repeats.size();
-    }
-
-    static Duration seconds(double seconds) {
-        return Duration.ofNanos((long) (seconds * TimeUnit.SECONDS.toNanos(1)));
-    }
 }
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -147,8 +147,4 @@
         TimedAwait.pause(vertx, FAILURE_REPORT);
         return failed.contains(answer.request().connection());
     }
-
-    void close() {
-        clients.values().forEach(HttpClient::close);
-    }
 }
