--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -1,11 +1,16 @@
 package org.verbenatally.peer;
 
 import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Collectors;
 
 import org.verbenatally.config.ConfigHolder;
@@ -13,30 +18,22 @@
 import org.verbenatally.core.TargetId;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.Gossip;
+import org.verbenatally.wire.InstanceLoads;
 import org.verbenatally.wire.Member;
 import org.verbenatally.wire.PeerFrame;
+import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
-import org.verbenatally.wire.TargetLoad;
 
 /** Builds the gossip frames of each link and applies what comes in. */
 final class GossipExchange {
-    /** Most target loads in a frame between any two members of a small fleet. */
-    private static final int MAX_LOADS = 4_096;
+    /** Most rows of loads, and of published entries, in one frame; the others follow in the next one. */
+    private static final int MAX_ROWS = 1_024;
 
-    /**
-     * Most target loads in a frame of a larger fleet. An instance has eight of 330 peers as neighbours, so their loads
-     * say little about a target; the busiest targets are enough, and more would not fit the traffic limit.
-     */
-    private static final int SAMPLED_LOADS = 16;
+    /** Most rows of loads in a frame of a larger fleet, where each row crosses each link. */
+    private static final int MAX_LOADS_OF_LARGE_FLEET = 64;
 
-    /** In a larger fleet loads are sent once in this many gossip periods. */
-    private static final int SAMPLED_LOAD_PERIODS = 4;
-
-    /**
-     * In a small fleet loads are sent in each gossip frame up to this many targets; with twice as many in every second
-     * one, and so on. Eight members with 400 targets in each frame cost 212 KB/s a member (bench-peers, seed 7).
-     */
-    private static final int LOADS_PER_PERIOD = 24;
+    /** In a larger fleet suspects and leaving targets are sent once in this many gossip periods. */
+    private static final int SAMPLED_STATE_PERIODS = 4;
 
     /** Most suspects in one frame; the others follow in the next one. */
     private static final int MAX_SUSPECTS = 256;
@@ -51,6 +48,9 @@
     private final TimerService timers;
     private final ConfigHolder<?> config;
     private final PeerHandler handler;
+    private final LoadTable loads;
+    private final NewestRows<String, PublishedTarget> published =
+            new NewestRows<>(Comparator.comparingLong(PublishedTarget::getRevision));
 
     private record SuspectKey(long high, long low) {}
 
@@ -67,6 +67,7 @@
         this.timers = timers;
         this.config = config;
         this.handler = handler;
+        this.loads = new LoadTable(membership.own().run(), timers);
     }
 
     private static Gossip keepAlive() {
@@ -76,16 +77,21 @@
     }
 
     /** State of the own process that goes into the frames of one round. */
-    private record Own(List<TargetLoad> loads, List<String> leaving, List<Suspect> suspects, int periods) {}
+    private record Own(List<String> leaving, List<Suspect> suspects, int periods) {}
+
+    private boolean isMesh() {
+        return membership.fleet() <= Links.FULL_MESH_MEMBERS;
+    }
 
     /**
      * Sends a frame on each link.
      *
-     * @param complete whether loads, leaving targets and suspects are sent at once on all links; otherwise they follow
-     *     their own period
+     * @param complete whether leaving targets and suspects are sent at once on all links; otherwise they follow their
+     *     own period
      */
     void sendRound(Collection<Link> links, boolean complete) {
-        boolean mesh = membership.members().size() <= Links.FULL_MESH_MEMBERS;
+        loads.state(handler.targetLoads());
+        boolean mesh = isMesh();
         Own own = null;
         for (Link link : links) {
             if (!link.isReady()) {
@@ -98,51 +104,123 @@
                 continue;
             }
             synchronized (link.gossip) {
-                boolean due = complete || timers.nanos() - link.gossip.nextLoads >= 0;
+                boolean due = complete || timers.nanos() - link.gossip.nextState >= 0;
                 if (due && own == null) {
                     own = own(mesh);
                 }
-                send(link, due ? own : null);
+                send(link, due ? own : null, mesh);
             }
         }
     }
 
-    /** Sends changed member rows and the configuration version on all links, for what must not wait for the period. */
-    void sendMembers(Collection<Link> links) {
+    /** Sends all that changed on all links, for what must not wait for the period. */
+    void sendChanges(Collection<Link> links) {
+        loads.state(handler.targetLoads());
+        forEachNeighbour(links, link -> send(link, null, isMesh()));
+    }
+
+    /** Sends loads and published entries that changed, on the links that have not been sent them. */
+    void sendLoads(Collection<Link> links) {
+        loads.state(handler.targetLoads());
+        boolean mesh = isMesh();
+        forEachNeighbour(links, link -> {
+            Spread spread = spread(link, mesh);
+            if (link.gossip.ownRowSent && !spread.isEmpty()) {
+                Gossip gossip = frame(List.of(), spread, null, List.of());
+                if (link.send(PeerFrame.gossip(gossip))) {
+                    spread.sent(link.gossip);
+                }
+            }
+        });
+    }
+
+    private static void forEachNeighbour(Collection<Link> links, Consumer<Link> action) {
         for (Link link : links) {
             if (link.isReady() && link.carriesGossip()) {
                 synchronized (link.gossip) {
-                    send(link, null);
+                    action.accept(link);
                 }
             }
         }
     }
 
+    /** Takes published entries that this instance has read. */
+    void publish(Collection<PublishedTarget> entries) {
+        entries.forEach(entry -> published.put(entry.getTarget(), entry, NewestRows.LOCAL));
+    }
+
+    /** Counts the loads of those members only that are heard of. */
+    void tick() {
+        Map<InstanceId, MemberInfo> members = new HashMap<>();
+        membership.members().forEach(m -> members.put(m.instance(), m));
+        loads.tick(id -> Optional.ofNullable(members.get(id)), handler::onTargetLoads);
+    }
+
+    /** Forgets what a member said that has gone. */
+    void forget(InstanceId member) {
+        loads.forget(member);
+        handler.onGone(member);
+    }
+
     private Own own(boolean mesh) {
-        List<TargetLoad> loads = handler.targetLoads();
-        int limit = mesh ? MAX_LOADS : SAMPLED_LOADS;
-        if (loads.size() > limit) {
-            loads = loads.stream()
-                    .sorted(Comparator.comparingInt(TargetLoad::getRequests).reversed())
-                    .limit(limit)
-                    .toList();
-        }
         List<String> leaving =
                 handler.leavingTargets().stream().map(TargetId::value).toList();
-        int periods = mesh ? Math.max(1, Math.ceilDiv(loads.size(), LOADS_PER_PERIOD)) : SAMPLED_LOAD_PERIODS;
-        return new Own(loads, leaving, handler.suspects(), periods);
+        return new Own(leaving, handler.suspects(), mesh ? 1 : SAMPLED_STATE_PERIODS);
+    }
+
+    /** What a link has not been sent of the tables that all instances pass on. */
+    private record Spread(NewestRows.Batch<InstanceLoads> loads, NewestRows.Batch<PublishedTarget> published) {
+        boolean isEmpty() {
+            return loads.values().isEmpty() && published.values().isEmpty();
+        }
+
+        void sent(Link.GossipState state) {
+            state.sentLoads = loads.serial();
+            state.sentPublished = published.serial();
+        }
     }
 
-    private void send(Link link, Own own) {
+    private Spread spread(Link link, boolean mesh) {
+        int most = mesh ? MAX_ROWS : MAX_LOADS_OF_LARGE_FLEET;
+        return new Spread(
+                loads.changes(link.gossip.sentLoads, link.id, most),
+                published.changes(link.gossip.sentPublished, link.id, MAX_ROWS));
+    }
+
+    private long version() {
+        return config.deployment().map(d -> d.version().value()).orElse(0L);
+    }
+
+    private Gossip frame(List<Member> rows, Spread spread, Own own, List<Suspect> suspects) {
+        Gossip gossip = new Gossip(
+                rows,
+                spread.loads().values(),
+                own == null ? List.of() : own.leaving(),
+                suspects,
+                version(),
+                ByteBuffer.wrap(config.document()
+                        .map(ConfigHolder.ConfigDocumentInForce::digest)
+                        .orElse(new byte[0])));
+        if (own == null) {
+            gossip.setMembersOnly(true);
+        }
+        if (!spread.published().values().isEmpty()) {
+            gossip.setPublished(spread.published().values());
+        }
+        if (spread.published().complete()) {
+            handler.publishedAge().ifPresent(age -> gossip.setPublishedAgeMs((int) age.toMillis()));
+        }
+        return gossip;
+    }
+
+    private void send(Link link, Own own, boolean mesh) {
         Link.GossipState state = link.gossip;
-        var inForce = config.document();
-        long version = inForce.map(d -> d.deployment().version().value()).orElse(0L);
         boolean first = !state.ownRowSent;
         if (first) {
             // Rows are not sent to a new neighbour, which mostly knows them; the beats tell it what it lacks.
             state.sentState = membership.serial();
         }
-        var changes = membership.changes(state.sentState, state.sentBeat, version, link.id);
+        var changes = membership.changes(state.sentState, state.sentBeat, version(), link.id);
         List<Member> rows = new ArrayList<>(changes.rows().size());
         changes.rows().forEach(r -> rows.add(r.toWire()));
         if (first) {
@@ -152,17 +230,8 @@
         if (!wantedByPeer.isEmpty()) {
             membership.rows(wantedByPeer).forEach(r -> rows.add(r.toWire()));
         }
-        Gossip gossip = new Gossip(
-                rows,
-                own == null ? List.of() : own.loads(),
-                own == null ? List.of() : own.leaving(),
-                own == null ? List.of() : newSuspects(state, own.suspects()),
-                version,
-                ByteBuffer.wrap(
-                        inForce.map(ConfigHolder.ConfigDocumentInForce::digest).orElse(new byte[0])));
-        if (own == null) {
-            gossip.setMembersOnly(true);
-        }
+        Spread spread = spread(link, mesh);
+        Gossip gossip = frame(rows, spread, own, own == null ? List.of() : newSuspects(state, own.suspects()));
         if (changes.beats().getRowsSize() > 0) {
             gossip.setBeats(changes.beats());
         }
@@ -174,18 +243,23 @@
             state.ownRowSent = true;
             state.sentState = changes.serial();
             state.sentBeat = changes.serial();
+            spread.sent(state);
             state.wantedByPeer.removeAll(wantedByPeer);
             state.unknown.removeAll(unknown);
             if (own != null) {
-                // Half a period less, so that a tick that comes a little early does not skip a turn.
-                state.nextLoads = timers.nanos()
-                        + timings.gossip().multipliedBy(own.periods()).toNanos()
-                        - timings.gossip().toNanos() / 2;
-                gossip.getSuspects().forEach(s -> state.sentSuspects.put(key(s), stateOf(s)));
+                ownSent(state, own, gossip.getSuspects());
             }
         }
     }
 
+    private void ownSent(Link.GossipState state, Own own, List<Suspect> suspects) {
+        // Half a period less, so that a tick that comes a little early does not skip a turn.
+        state.nextState = timers.nanos()
+                + timings.gossip().multipliedBy(own.periods()).toNanos()
+                - timings.gossip().toNanos() / 2;
+        suspects.forEach(s -> state.sentSuspects.put(key(s), stateOf(s)));
+    }
+
     private static List<Suspect> newSuspects(Link.GossipState state, List<Suspect> suspects) {
         if (state.sentSuspects.size() > suspects.size()) {
             Set<Object> kept = suspects.stream().map(GossipExchange::key).collect(Collectors.toSet());
@@ -205,14 +279,24 @@
         return new SuspectState(s.getCrashes(), s.getIsolatedCrashes(), s.getRunningOn());
     }
 
+    /** How soon what a frame brought must be passed on. */
+    enum News {
+        /** With the next frame. */
+        NONE,
+        /** When changes of loads are due. */
+        LOADS,
+        /** At once: about members, or about targets that come or leave. */
+        URGENT
+    }
+
     /**
-     * Applies a frame and returns whether it holds news about members that must be passed on at once.
+     * Applies a frame and returns how soon its news must be passed on.
      *
      * @throws IllegalArgumentException if a field is not valid
      */
-    boolean receive(Link link, Gossip gossip) {
+    News receive(Link link, Gossip gossip) {
         if (!link.carriesGossip()) {
-            return false;
+            return News.NONE;
         }
         boolean urgent =
                 membership.merge(gossip.getMembers().stream().map(MemberRow::of).toList(), link.id);
@@ -222,19 +306,37 @@
         if (gossip.getWantedRows() != null) {
             link.gossip.wanted(gossip.getWantedRows());
         }
+        urgent |= receivePublished(link, gossip);
+        boolean news = loads.receive(gossip.getLoads(), link.id, handler::onTargetLoads);
         if (!gossip.isMembersOnly()) {
             receiveState(link, gossip);
         }
-        return urgent;
+        return urgent ? News.URGENT : news ? News.LOADS : News.NONE;
+    }
+
+    private boolean receivePublished(Link link, Gossip gossip) {
+        List<PublishedTarget> news = List.of();
+        if (gossip.getPublished() != null) {
+            // Checked before any of it is used, so that a bad entry has no effect.
+            handler.checkPublished(gossip.getPublished());
+            news = gossip.getPublished().stream()
+                    .filter(entry -> published.put(entry.getTarget(), entry, link.id))
+                    .toList();
+            handler.onPublished(news);
+        }
+        if (gossip.isSetPublishedAgeMs()) {
+            if (gossip.getPublishedAgeMs() < 0) {
+                throw new IllegalArgumentException("age of the published list must not be negative");
+            }
+            handler.onPublishedAge(Duration.ofMillis(gossip.getPublishedAgeMs()));
+        }
+        return !news.isEmpty();
     }
 
     private void receiveState(Link link, Gossip gossip) {
         InstanceId from = link.peer().instance();
-        // Checked before any of it is used, so that a bad name has no effect.
         Set<TargetId> leaving =
                 gossip.getLeavingTargets().stream().map(TargetId::new).collect(Collectors.toSet());
-        gossip.getTargetLoads().forEach(l -> new TargetId(l.getTarget()));
-        handler.onTargetLoads(from, gossip.getTargetLoads());
         if (!leaving.isEmpty() || link.gossip.leavingReceived) {
             link.gossip.leavingReceived = !leaving.isEmpty();
             handler.onLeavingTargets(from, leaving);
--- a/core/src/main/java/org/verbenatally/peer/Link.java
+++ b/core/src/main/java/org/verbenatally/peer/Link.java
@@ -73,7 +73,9 @@
         long sentBeat;
         boolean ownRowSent;
         boolean leavingReceived;
-        long nextLoads;
+        long sentLoads;
+        long sentPublished;
+        long nextState;
         final Set<Integer> wantedByPeer = new HashSet<>();
         final Set<Integer> unknown = new HashSet<>();
         final Map<Object, Object> sentSuspects = new HashMap<>();
--- a/core/src/main/java/org/verbenatally/peer/Links.java
+++ b/core/src/main/java/org/verbenatally/peer/Links.java
@@ -34,7 +34,7 @@
 /** The open links of an instance: whom to connect to, when to close, and which of two links to one peer to keep. */
 final class Links {
     /** Version of the peer protocol; instances of another one are refused. */
-    static final int PROTOCOL = 1;
+    static final int PROTOCOL = 2;
 
     /** A fleet of up to this size has a link between any two members. */
     static final int FULL_MESH_MEMBERS = 9;
--- a/core/src/main/java/org/verbenatally/peer/Membership.java
+++ b/core/src/main/java/org/verbenatally/peer/Membership.java
@@ -380,6 +380,11 @@
         return timers.nanos() - staleUntil < 0;
     }
 
+    /** Returns how many members there are that are not gone, as of the last tick. */
+    synchronized int fleet() {
+        return fleet;
+    }
+
     synchronized Duration suspectAfter() {
         return timings.suspectAfter(fleet);
     }
--- a/core/src/main/java/org/verbenatally/peer/PeerHandler.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerHandler.java
@@ -1,6 +1,8 @@
 package org.verbenatally.peer;
 
+import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
@@ -9,6 +11,7 @@
 import org.verbenatally.wire.ForwardCall;
 import org.verbenatally.wire.ForwardResult;
 import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
 import org.verbenatally.wire.TargetLoad;
 
@@ -24,7 +27,7 @@
     /** Returns what this instance has in flight on each target. */
     List<TargetLoad> targetLoads();
 
-    /** Takes what a peer has in flight; replaces what the same peer said before. */
+    /** Takes what another instance has in flight; replaces what the same instance said before. */
     void onTargetLoads(InstanceId from, List<TargetLoad> loads);
 
     /** Returns the targets that this instance knows to be leaving. */
@@ -39,6 +42,24 @@
     /** Takes the suspect requests that a peer knows. */
     void onSuspects(InstanceId from, List<Suspect> suspects);
 
+    /**
+     * Checks published entries that a peer passes on.
+     *
+     * @throws IllegalArgumentException if a field is not valid; the message names it
+     */
+    default void checkPublished(List<PublishedTarget> entries) {}
+
+    /** Takes published entries that other instances have read and that are newer than what was known. */
+    default void onPublished(List<PublishedTarget> entries) {}
+
+    /** Takes the age of a read of the published list, of which all entries that changed have been taken. */
+    default void onPublishedAge(Duration age) {}
+
+    /** Returns the age of the newest read of the published list of which all changes are known. */
+    default Optional<Duration> publishedAge() {
+        return Optional.empty();
+    }
+
     /** Forgets what a peer said, after it has gone. */
     void onGone(InstanceId peer);
 }
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
 import java.util.Objects;
@@ -37,6 +38,7 @@
 import org.verbenatally.wire.KeyTransfer;
 import org.verbenatally.wire.MemberState;
 import org.verbenatally.wire.PeerFrame;
+import org.verbenatally.wire.PublishedTarget;
 
 /**
  * The peer network of an entry process over TCP: membership, state exchange, forwarding and configuration
@@ -53,6 +55,15 @@
     /** Collects urgent changes that arrive together into one frame. */
     private static final Duration FLUSH_DELAY = Duration.ofMillis(10);
 
+    /** Collects changes of loads in a fleet where each instance has a link to each other. */
+    private static final Duration LOAD_DELAY = Duration.ofMillis(5);
+
+    /**
+     * The same in a larger fleet, for each member: loads change the more often the more members there are, so that the
+     * delay keeps the frames for them to a constant number for each change.
+     */
+    private static final Duration LOAD_DELAY_OF_MEMBER = Duration.ofMillis(1);
+
     private final PeerOptions options;
     private final Run self;
     private final TimerService timers;
@@ -65,6 +76,7 @@
     private final Optional<PlatformReader> platform;
     private final List<Subscription> subscriptions = new ArrayList<>();
     private final AtomicBoolean flushPlanned = new AtomicBoolean();
+    private final AtomicBoolean loadsPlanned = new AtomicBoolean();
     private volatile boolean asked;
 
     private Peers(
@@ -242,20 +254,46 @@
     }
 
     private void tick() {
-        membership.tick().forEach(handler::onGone);
+        membership.tick().forEach(exchange::forget);
+        exchange.tick();
         links.tick();
         exchange.sendRound(links.all(), false);
     }
 
     private void flushSoon() {
-        if (flushPlanned.compareAndSet(false, true)) {
-            timers.after(FLUSH_DELAY, () -> {
-                flushPlanned.set(false);
-                exchange.sendMembers(links.all());
+        flushAfter(FLUSH_DELAY, flushPlanned, exchange::sendChanges);
+    }
+
+    private void flushLoads(boolean own) {
+        int members = membership.fleet();
+        if (members > Links.FULL_MESH_MEMBERS) {
+            flushAfter(LOAD_DELAY_OF_MEMBER.multipliedBy(members), loadsPlanned, exchange::sendLoads);
+        } else if (own) {
+            // What others say has reached all members of a mesh already.
+            flushAfter(LOAD_DELAY, loadsPlanned, exchange::sendLoads);
+        }
+    }
+
+    private void flushAfter(Duration delay, AtomicBoolean planned, Consumer<Collection<Link>> send) {
+        if (planned.compareAndSet(false, true)) {
+            timers.after(delay, () -> {
+                planned.set(false);
+                send.accept(links.all());
             });
         }
     }
 
+    /** Tells the peers soon that the loads of this instance have changed. */
+    public void loadsChanged() {
+        flushLoads(true);
+    }
+
+    /** Tells the peers at once of published entries that this instance has read. */
+    public void publish(List<PublishedTarget> entries) {
+        exchange.publish(entries);
+        flushSoon();
+    }
+
     /** Gives frames to the parts that handle them. */
     private final class FrameListener implements Link.Listener {
         @Override
@@ -285,8 +323,10 @@
         }
 
         private void onGossip(Link link, Gossip gossip) {
-            if (exchange.receive(link, gossip)) {
-                flushSoon();
+            switch (exchange.receive(link, gossip)) {
+                case URGENT -> flushSoon();
+                case LOADS -> flushLoads(false);
+                default -> LOG.tracef("peer: %s had no news", link);
             }
             spreader.onPeerVersion(link, gossip.getConfigVersion(), gossip.getConfigDigest());
             link.firstGossip.complete(null);
@@ -419,7 +459,7 @@
     @Override
     public CompletableFuture<Void> close() {
         membership.setOwn(MemberState.LEFT, Optional.empty());
-        exchange.sendMembers(links.all());
+        exchange.sendChanges(links.all());
         return abort();
     }
 
--- a/core/src/test/java/org/verbenatally/peer/Fleet.java
+++ b/core/src/test/java/org/verbenatally/peer/Fleet.java
@@ -26,6 +26,7 @@
 import org.verbenatally.wire.ForwardCall;
 import org.verbenatally.wire.ForwardResult;
 import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
 import org.verbenatally.wire.TargetLoad;
 
@@ -52,6 +53,7 @@
         final Map<InstanceId, List<TargetLoad>> loads = new ConcurrentHashMap<>();
         final Map<InstanceId, Set<TargetId>> leaving = new ConcurrentHashMap<>();
         final Map<Long, Suspect> suspects = new ConcurrentHashMap<>();
+        final Set<String> published = ConcurrentHashMap.newKeySet();
         final Set<InstanceId> gone = ConcurrentHashMap.newKeySet();
         final List<KeyTransfer> transfers = new java.util.concurrent.CopyOnWriteArrayList<>();
         volatile List<TargetLoad> ownLoads = List.of();
@@ -103,6 +105,11 @@
             suspects.forEach(s -> this.suspects.put(s.getFingerprintLow(), s));
         }
 
+        @Override
+        public void onPublished(List<PublishedTarget> entries) {
+            entries.forEach(entry -> published.add(entry.getTarget()));
+        }
+
         @Override
         public void onGone(InstanceId peer) {
             gone.add(peer);
--- /dev/null
+++ b/core/src/test/java/org/verbenatally/peer/LoadTableTest.java
@@ -0,0 +1,138 @@
+package org.verbenatally.peer;
+
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenatally.core.Address;
+import org.verbenatally.core.ConfigVersion;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.Incarnation;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.peer.MemberInfo.Status;
+import org.verbenatally.peer.MemberRow.Run;
+import org.verbenatally.time.ManualTimer;
+import org.verbenatally.wire.InstanceLoads;
+import org.verbenatally.wire.TargetLoad;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatIllegalArgumentException;
+
+class LoadTableTest {
+    private static final int LINK = 1;
+    private static final int ALL = 1_000;
+    private final ManualTimer timer = new ManualTimer();
+    private final LoadTable here = table("here", 1);
+    private final Map<String, Long> heard = new HashMap<>();
+
+    private LoadTable table(String instance, long incarnation) {
+        return new LoadTable(new Run(new InstanceId(instance), new Incarnation(incarnation)), timer);
+    }
+
+    private static TargetLoad load(String target, long tokens) {
+        return new TargetLoad(target, tokens == 0 ? 0 : 1, tokens);
+    }
+
+    private void hear(InstanceId instance, List<TargetLoad> loads) {
+        heard.put(
+                instance.value(),
+                loads.stream().mapToLong(TargetLoad::getTokens).sum());
+    }
+
+    private boolean receive(LoadTable from, long since) {
+        return here.receive(from.changes(since, LINK, ALL).values(), LINK, this::hear);
+    }
+
+    private static Function<InstanceId, Optional<MemberInfo>> members(Status status, long incarnation) {
+        return id -> Optional.of(new MemberInfo(
+                id,
+                new Incarnation(incarnation),
+                new Address("127.0.0.1", 1),
+                new FailureDomain("d"),
+                status,
+                ConfigVersion.NONE,
+                Optional.empty()));
+    }
+
+    /** Pattern: a chain of instances without a link between the ends. Guards against loads of neighbours only. */
+    @Test
+    void loadsArePassedOn() {
+        LoadTable far = table("far", 1);
+        LoadTable middle = table("middle", 1);
+        far.state(List.of(load("a", 100), load("b", 50)));
+        assertThat(middle.receive(far.changes(0, LINK, ALL).values(), LINK, (i, l) -> {}))
+                .isTrue();
+        assertThat(here.receive(middle.changes(0, 2, ALL).values(), LINK, this::hear))
+                .isTrue();
+        assertThat(heard).containsEntry("far", 150L);
+        long serial = far.changes(0, LINK, ALL).serial();
+        far.state(List.of(load("a", 100)));
+        assertThat(far.changes(serial, LINK, ALL).values())
+                .singleElement()
+                .satisfies(s -> assertThat(s.getLoads())
+                        .extracting(TargetLoad::getTarget)
+                        .containsExactly("b"));
+        receive(far, serial);
+        assertThat(heard).containsEntry("far", 100L);
+    }
+
+    /** Guards against load that stays after its instance fell silent, and that is lost when it returns. */
+    @Test
+    void silentInstancesAreNotCountedUntilTheyReturn() {
+        LoadTable other = table("other", 5);
+        other.state(List.of(load("a", 100)));
+        receive(other, 0);
+        here.tick(members(Status.SUSPECT, 5), this::hear);
+        assertThat(heard).containsEntry("other", 0L);
+        here.tick(members(Status.LIVE, 5), this::hear);
+        assertThat(heard).containsEntry("other", 100L);
+    }
+
+    /** Guards against load of an earlier run, whether the new run has load or none. */
+    @Test
+    void restartEndsTheLoadOfTheEarlierRun() {
+        LoadTable first = table("other", 5);
+        first.state(List.of(load("a", 100)));
+        receive(first, 0);
+        here.tick(members(Status.LIVE, 6), this::hear);
+        assertThat(heard).containsEntry("other", 0L);
+        assertThat(receive(first, 0)).isFalse();
+        LoadTable second = table("other", 6);
+        second.state(List.of(load("b", 7)));
+        receive(second, 0);
+        assertThat(heard).containsEntry("other", 7L);
+    }
+
+    /** Guards against load that has ended, told by an instance that was cut off since. */
+    @Test
+    void ownStatementIsRepeatedAgainstOldHearsay() {
+        here.state(List.of(load("a", 100)));
+        List<InstanceLoads> old = here.changes(0, LINK, ALL).values();
+        here.state(List.of());
+        timer.advance(Duration.ofMinutes(2));
+        here.tick(members(Status.LIVE, 1), this::hear);
+        assertThat(here.changes(0, LINK, ALL).values()).isEmpty();
+        here.receive(old, LINK, this::hear);
+        assertThat(here.changes(0, LINK, ALL).values())
+                .singleElement()
+                .satisfies(s -> assertThat(s.getLoads().getFirst().getTokens()).isZero());
+    }
+
+    /** Guards against statements that make decisions absurd; nothing of a frame with one is taken. */
+    @ParameterizedTest
+    @CsvSource({"a, -1, 0, 0", "a, 0, -1, 0", "a, 0, 0, -1", "'', 1, 1, 1"})
+    void refusesAbsurdStatements(String target, int requests, long tokens, long unread) {
+        var good = new InstanceLoads("good", 1, List.of(load("a", 5).setNumber(1)));
+        var bad =
+                new InstanceLoads("bad", 1, List.of(new TargetLoad(target, requests, tokens).setUnreadTokens(unread)));
+        assertThatIllegalArgumentException().isThrownBy(() -> here.receive(List.of(good, bad), LINK, this::hear));
+        assertThat(heard).isEmpty();
+        assertThat(here.changes(0, 2, ALL).values()).isEmpty();
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/verbenatally/peer/NewestRowsTest.java
@@ -0,0 +1,80 @@
+package org.verbenatally.peer;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class NewestRowsTest {
+    private record Value(String key, long version) {}
+
+    private static NewestRows<String, Value> table() {
+        return new NewestRows<>(Comparator.comparingLong(Value::version));
+    }
+
+    /** Guards against tables that stay different, whichever rows are sent first and however small the frames are. */
+    @Property(tries = 60, seed = "7")
+    void tablesConvergeOverAnyConnectedNetwork(
+            @ForAll @IntRange(min = 2, max = 12) int instances,
+            @ForAll @IntRange(min = 1, max = 5) int most,
+            @ForAll @IntRange(min = 0, max = 1_000) int seed) {
+        Random random = new Random(seed);
+        List<NewestRows<String, Value>> tables = new ArrayList<>();
+        Map<Integer, Long> sent = new HashMap<>();
+        Map<String, Long> newest = new HashMap<>();
+        for (int i = 0; i < instances; i++) {
+            tables.add(table());
+        }
+        for (int step = 0; step < 400; step++) {
+            int from = random.nextInt(instances);
+            if (step < 100) {
+                String key = "k" + random.nextInt(6);
+                long version = newest.merge(key, 1L, Long::sum);
+                tables.get(from).put(key, new Value(key, version), NewestRows.LOCAL);
+            }
+            // A ring: link number "to + 1" at the sender, "from + 1" at the receiver.
+            send(tables, sent, from, (from + 1) % instances, most);
+            send(tables, sent, (from + 1) % instances, from, most);
+        }
+        for (int round = 0; round < 20 * instances; round++) {
+            for (int i = 0; i < instances; i++) {
+                send(tables, sent, i, (i + 1) % instances, most);
+                send(tables, sent, (i + 1) % instances, i, most);
+            }
+        }
+        for (NewestRows<String, Value> table : tables) {
+            newest.forEach((key, version) -> assertThat(table.get(key)).contains(new Value(key, version)));
+        }
+    }
+
+    private static void send(
+            List<NewestRows<String, Value>> tables, Map<Integer, Long> sent, int from, int to, int most) {
+        int link = from * 100 + to;
+        var batch = tables.get(from).changes(sent.getOrDefault(link, 0L), to + 1, most);
+        assertThat(batch.values()).hasSizeLessThanOrEqualTo(most);
+        batch.values().forEach(value -> tables.get(to).put(value.key(), value, from + 1));
+        sent.put(link, batch.serial());
+    }
+
+    /** Guards against rows that go back and forth on the link that they came by, and against old values. */
+    @Test
+    void rowsAreNotSentBackNorReplacedByOlderOnes() {
+        var table = table();
+        assertThat(table.put("a", new Value("a", 2), 5)).isTrue();
+        assertThat(table.put("a", new Value("a", 2), 6)).isFalse();
+        assertThat(table.put("a", new Value("a", 1), 6)).isFalse();
+        assertThat(table.changes(0, 5, 10).values()).isEmpty();
+        assertThat(table.changes(0, 6, 10).values()).containsExactly(new Value("a", 2));
+        assertThat(table.changes(table.changes(0, 6, 10).serial(), 6, 10).values())
+                .isEmpty();
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
+++ b/forward/src/main/java/org/verbenatally/forward/EngineAdmission.java
@@ -7,7 +7,6 @@
 import java.util.concurrent.ThreadLocalRandom;
 
 import org.verbenatally.core.TargetId;
-import org.verbenatally.time.TimedAwait;
 
 /**
  * Decides when and where a generation starts: at once where it can be on time, else after a short wait, else as filling
@@ -18,8 +17,8 @@
     private static final int PATIENCE_PART = 8;
     /** Time kept for the network and for the other generations of the engine, besides the reading of prompts. */
     private static final Duration START_MARGIN = Duration.ofMillis(200);
-    /** Engines get room a few times a second. */
-    private static final Duration ROOM_CHECK = Duration.ofMillis(25);
+    /** Room that comes with time alone, such as the end of a suspension, is looked for in this period. */
+    private static final Duration ROOM_CHECK = Duration.ofMillis(100);
 
     /**
      * Part of the time left after which a refused caller is asked to come back. Room for a long generation comes with
@@ -87,7 +86,8 @@
                                 .map(engine -> new Admitted(engine, Urgency.FILLING));
                     }
                 }
-                TimedAwait.pause(caller.owner(), ROOM_CHECK);
+                Duration rest = patience.minus(waited);
+                parts.line().await(place, patient && rest.compareTo(ROOM_CHECK) < 0 ? rest : ROOM_CHECK);
             }
             return Optional.empty();
         } finally {
--- a/forward/src/main/java/org/verbenatally/forward/Flight.java
+++ b/forward/src/main/java/org/verbenatally/forward/Flight.java
@@ -73,8 +73,16 @@
 
     /** Notes the tokens made so far, once there are any. */
     void made(long tokens) {
+        boolean first = reading;
         reading = false;
         made = tokens;
+        if (first) {
+            row.loadChanged(this);
+        }
+    }
+
+    boolean isGeneration() {
+        return generation != null;
     }
 
     /** Tells whether the generation is likely to outlive the notice that its engine leaves. */
--- a/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
@@ -16,6 +16,7 @@
  * @param metrics where metrics are served; empty: nowhere
  * @param peers options of the peer network
  * @param grace time between the request to stop and the end of the process
+ * @param drain time within which a target that leaves must get no new work
  * @param repeats bound of repeated sends
  */
 public record ForwardOptions(
@@ -25,6 +26,7 @@
         Optional<Address> metrics,
         PeerOptions peers,
         Duration grace,
+        Duration drain,
         RepeatAllowance.Rule repeats) {
 
     /** Checks that the parts are there. */
@@ -35,6 +37,7 @@
         Objects.requireNonNull(metrics, "metrics");
         Objects.requireNonNull(peers, "peers");
         Objects.requireNonNull(grace, "grace");
+        Objects.requireNonNull(drain, "drain");
         Objects.requireNonNull(repeats, "repeats");
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardParts.java
@@ -15,7 +15,6 @@
  * @param crashes finds requests that crash their targets
  * @param bodies bounds the memory of request bodies
  * @param metrics counters
- * @param tellPeers sends the load of this instance to its peers soon
  */
 record ForwardParts(
         TimerService timer,
@@ -27,5 +26,4 @@
         RepeatAllowance repeats,
         CrashDetector crashes,
         BodyMemory bodies,
-        ForwardMetrics metrics,
-        Runnable tellPeers) {}
+        ForwardMetrics metrics) {}
--- a/forward/src/main/java/org/verbenatally/forward/ForwardPeers.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardPeers.java
@@ -1,10 +1,13 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
+import org.jboss.logging.Logger;
 import org.verbenatally.core.InstanceId;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
@@ -15,6 +18,7 @@
 import org.verbenatally.wire.ForwardCall;
 import org.verbenatally.wire.ForwardResult;
 import org.verbenatally.wire.KeyTransfer;
+import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
 import org.verbenatally.wire.TargetLoad;
 
@@ -23,6 +27,8 @@
  * to peers.
  */
 final class ForwardPeers implements PeerHandler {
+    private static final Logger LOG = Logger.getLogger(ForwardPeers.class);
+
     private final TargetDirectory directory;
     private final SuspectTable suspects;
 
@@ -56,14 +62,37 @@
         directory.peerLoads(from, loads);
     }
 
+    /** Whether a target leaves is part of its published entry. */
     @Override
     public Set<TargetId> leavingTargets() {
-        return directory.leaving();
+        return Set.of();
     }
 
     @Override
     public void onLeavingTargets(InstanceId from, Set<TargetId> targets) {
-        directory.peerLeaving(from, targets);
+        if (!targets.isEmpty()) {
+            LOG.warnf("peer: %s tells of leaving targets outside the published list: %s", from, targets);
+        }
+    }
+
+    @Override
+    public void checkPublished(List<PublishedTarget> entries) {
+        entries.forEach(TargetNews::target);
+    }
+
+    @Override
+    public void onPublished(List<PublishedTarget> entries) {
+        directory.heard(entries);
+    }
+
+    @Override
+    public void onPublishedAge(Duration age) {
+        directory.heardAsOf(age);
+    }
+
+    @Override
+    public Optional<Duration> publishedAge() {
+        return directory.age();
     }
 
     @Override
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -1,11 +1,10 @@
 package org.verbenatally.forward;
 
-import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.vertx.core.Context;
 import io.vertx.core.DeploymentOptions;
@@ -23,6 +22,7 @@
 import org.verbenatally.peer.Peers;
 import org.verbenatally.policy.SuspectTable;
 import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.PublishedTarget;
 
 /**
  * One forwarding instance: the facade of this module. Its configuration is offered with {@link #offerConfig}, its
@@ -36,8 +36,6 @@
     private static final int IDLE_SECONDS = 120;
 
     private static final int OK = 200;
-    /** Loads of generations that start together are told in one frame; choices of peers are a few a second. */
-    private static final Duration PUSH_DELAY = Duration.ofMillis(5);
 
     private final ForwardOptions options;
     private final Vertx vertx;
@@ -48,7 +46,6 @@
     private final ForwardMetrics metrics = new ForwardMetrics();
     private final Shutdown shutdown;
     private final ForwardParts parts;
-    private final AtomicBoolean pushPlanned = new AtomicBoolean();
     private volatile Peers<ForwardDeployment> peers;
 
     /**
@@ -63,7 +60,7 @@
         this.options = Objects.requireNonNull(options, "options");
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.timer = Objects.requireNonNull(timer, "timer");
-        this.directory = new TargetDirectory(timer, this::pushToPeers);
+        this.directory = new TargetDirectory(timer, this::publish, this::loadsChanged);
         this.suspects = new SuspectTable(timer);
         this.shutdown = new Shutdown(timer, options.grace());
         this.parts = new ForwardParts(
@@ -76,8 +73,8 @@
                 new RepeatAllowance(timer, options.repeats(), this::liveMembers),
                 new CrashDetector(suspects, directory, timer, vertx),
                 new BodyMemory(),
-                metrics,
-                this::pushSoon);
+                metrics);
+        directory.onChange(parts.line()::wake);
         metrics.gauge("verbenatally.open.requests", shutdown::open);
         metrics.gauge("verbenatally.config.version", this::version);
         metrics.gauge("verbenatally.waiting", () -> parts.line().size());
@@ -85,24 +82,22 @@
         metrics.gauge("verbenatally.members", this::liveMembers);
     }
 
-    private void pushToPeers() {
+    private void publish(List<PublishedTarget> entries) {
         Peers<ForwardDeployment> p = peers;
         if (p != null) {
-            p.push();
+            p.publish(entries);
         }
     }
 
-    /** Sends what changed within a short time in one frame. */
-    private void pushSoon() {
-        if (pushPlanned.compareAndSet(false, true)) {
-            timer.after(PUSH_DELAY, () -> {
-                pushPlanned.set(false);
-                pushToPeers();
-            });
+    private void loadsChanged() {
+        Peers<ForwardDeployment> p = peers;
+        if (p != null) {
+            p.loadsChanged();
         }
     }
 
-    private int liveMembers() {
+    /** Returns how many instances are live, this one included. */
+    public int liveMembers() {
         Peers<ForwardDeployment> p = peers;
         return p == null
                 ? 1
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/ReadPace.java
@@ -0,0 +1,81 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+
+/**
+ * Decides how often one instance reads the source of targets and configuration. The instances pass on what they read,
+ * so that the reads of the whole fleet count; one that hears nothing from the others reads for itself.
+ */
+public final class ReadPace {
+    /** A departure is noticed within about an eighth of a second, of the second or two that an engine gives. */
+    private static final int FLEET_READS_PER_SECOND = 8;
+
+    private static final Duration SHORTEST_PAUSE = Duration.ofSeconds(1);
+    private static final Duration LONGEST_PAUSE = Duration.ofSeconds(60);
+    /** While the source cannot be read all instances try, and one that succeeds tells the others. */
+    private static final Duration LONGEST_RETRY = Duration.ofSeconds(2);
+    /** Pauses are up to this part shorter, so that instances that started together do not stay in step. */
+    private static final double SPREAD = 0.3;
+
+    /** A watch that hears nothing is renewed after this time, which bounds the harm of a silent connection. */
+    private static final Duration SHORTEST_WATCH = Duration.ofSeconds(4);
+    /** Longest watch that the source allows. */
+    private static final Duration LONGEST_WATCH = Duration.ofSeconds(30);
+
+    private static final int FLEET_WATCHES_PER_SECOND = 2;
+
+    private final Duration staleAfter;
+
+    /**
+     * Creates a pace.
+     *
+     * @param staleAfter age of the list beyond which an instance reads it itself
+     */
+    public ReadPace(Duration staleAfter) {
+        this.staleAfter = Objects.requireNonNull(staleAfter, "staleAfter");
+    }
+
+    private static Duration share(int members, int perSecond) {
+        return Duration.ofSeconds(1).multipliedBy(Math.max(1, members)).dividedBy(perSecond);
+    }
+
+    private static Duration clamp(Duration value, Duration least, Duration most) {
+        return value.compareTo(least) < 0 ? least : value.compareTo(most) > 0 ? most : value;
+    }
+
+    /**
+     * Returns the longest pause before the next read of the list.
+     *
+     * @param members live instances, this one included
+     * @param reached whether the last read succeeded
+     */
+    public Duration pause(int members, boolean reached) {
+        Duration pause =
+                clamp(share(members, FLEET_READS_PER_SECOND), SHORTEST_PAUSE, reached ? LONGEST_PAUSE : LONGEST_RETRY);
+        double part = 1 - SPREAD * ThreadLocalRandom.current().nextDouble();
+        return Duration.ofNanos((long) (pause.toNanos() * part));
+    }
+
+    /**
+     * Returns when the list that is known is too old, unless something newer is heard before; zero if it is.
+     *
+     * @param age age of the list that is known; empty if none is
+     */
+    public Duration untilStale(Optional<Duration> age) {
+        return age.map(staleAfter::minus).filter(rest -> !rest.isNegative()).orElse(Duration.ZERO);
+    }
+
+    /** Returns the shortest pause between two reads that follow from an old list. */
+    public Duration leastPause() {
+        double part = 1 - SPREAD * ThreadLocalRandom.current().nextDouble();
+        return Duration.ofNanos((long) (SHORTEST_PAUSE.toNanos() * part));
+    }
+
+    /** Returns how long one watch of the configuration waits; in a large fleet others hear of a change as well. */
+    public Duration watch(int members) {
+        return clamp(share(members, FLEET_WATCHES_PER_SECOND), SHORTEST_WATCH, LONGEST_WATCH);
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -106,7 +106,6 @@
         TargetRow to = row.get();
         to.keepCopy(leg.flight());
         reservation = () -> to.dropCopy(leg.flight());
-        parts.tellPeers().run();
         Optional<String> made = call(leg, to);
         if (made.isPresent() && !leg.flight().hasEnded()) {
             destination = to;
--- a/forward/src/main/java/org/verbenatally/forward/StreamSender.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamSender.java
@@ -36,9 +36,7 @@
                         .copyHolder(r.service(), generation, row, TargetChooser.STANDING_COPIES, Set.of())
                         .orElse(null)
                 : null;
-        Flight flight = new Flight(r.id(), r.fingerprint(), row, backup, generation, onLeaving);
-        parts.tellPeers().run();
-        return flight;
+        return new Flight(r.id(), r.fingerprint(), row, backup, generation, onLeaving);
     }
 
     /**
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -8,8 +8,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 
 import org.jboss.logging.Logger;
 import org.verbenatally.core.InstanceId;
@@ -17,11 +19,13 @@
 import org.verbenatally.core.ServiceName;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.TargetLoad;
 
 /**
- * The targets that are published, with what this instance and its peers know of each. The source of the list reports
- * each read, also a failed one. Safe for use by several threads.
+ * The targets that are published, with what this instance and the others know of each. The list is read by a few
+ * instances at a time, which pass on what has changed; of two entries the one of the higher revision counts. Safe for
+ * use by several threads.
  */
 public final class TargetDirectory {
     private static final Logger LOG = Logger.getLogger(TargetDirectory.class);
@@ -30,62 +34,155 @@
     private static final Duration RETURN_GRACE = Duration.ofSeconds(2);
     /** A target that has left is kept this long for requests that still run there and for slower peers. */
     private static final Duration MEMORY = Duration.ofSeconds(30);
-    /** A read of the list that is this much younger than a peer's word about a leaving target outweighs it. */
-    private static final Duration PEER_WORD = Duration.ofSeconds(1);
+    /** Loads are stated in steps of this many tokens, so that a growing generation is not news all the time. */
+    private static final long TOKEN_STEP = 512;
 
     private final TimerService timer;
-    private final Runnable onNews;
+    private final Consumer<List<PublishedTarget>> onRead;
+    private final Runnable onOwnLoad;
+    private final List<Runnable> listeners = new CopyOnWriteArrayList<>();
     private final Map<TargetId, TargetRow> rows = new HashMap<>();
     private final Map<TargetId, Long> leavingSince = new HashMap<>();
-    private final Map<InstanceId, Map<TargetId, Long>> leavingAtPeers = new HashMap<>();
+    private final Map<InstanceId, Map<TargetId, TargetRow.PeerLoad>> peerLoads = new HashMap<>();
+    /** Targets that this instance has read since the list became reachable. */
+    private final Set<TargetId> seenHere = new HashSet<>();
+    /** Targets that may get new work, by service; replaced whenever the list changes. */
+    private volatile Map<ServiceName, List<TargetRow>> candidates = Map.of();
+
     private boolean reachable;
-    private boolean everRead;
     private long returned;
-    private long lastRead;
+    private boolean known;
+    private long knownAsOf;
 
     /**
      * Creates an empty directory.
      *
      * @param timer clock
-     * @param onNews told when a target is found to leave, which peers should know at once
+     * @param onRead told of entries that this instance has read and that others may not know yet
+     * @param onOwnLoad told whenever the load of this instance at an engine changes
      */
-    public TargetDirectory(TimerService timer, Runnable onNews) {
+    public TargetDirectory(TimerService timer, Consumer<List<PublishedTarget>> onRead, Runnable onOwnLoad) {
         this.timer = Objects.requireNonNull(timer, "timer");
-        this.onNews = Objects.requireNonNull(onNews, "onNews");
+        this.onRead = Objects.requireNonNull(onRead, "onRead");
+        this.onOwnLoad = Objects.requireNonNull(onOwnLoad, "onOwnLoad");
+    }
+
+    /** Calls the listener after each change of the targets or of the load at them. */
+    void onChange(Runnable listener) {
+        listeners.add(listener);
+    }
+
+    private void changed() {
+        listeners.forEach(Runnable::run);
+    }
+
+    private void ownLoadChanged() {
+        onOwnLoad.run();
+        changed();
     }
 
-    /** Takes the whole published list. */
-    public void published(Collection<ForwardTarget> list) {
+    /** Takes the whole list as this instance has read it. */
+    public void published(PublishedList list) {
         List<TargetRow> left = new ArrayList<>();
+        List<PublishedTarget> news = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
             if (!reachable) {
                 reachable = true;
-                returned = everRead ? now : now - RETURN_GRACE.toNanos();
-                LogEvent.of("directory.reachable").with("targets", list.size()).info(LOG);
+                returned = now;
+                seenHere.clear();
+                LogEvent.of("directory.reachable")
+                        .with("targets", list.entries().size())
+                        .info(LOG);
             }
-            everRead = true;
-            lastRead = now;
+            asOf(now);
             Set<TargetId> listed = new HashSet<>();
-            for (ForwardTarget entry : list) {
-                listed.add(entry.id());
-                publish(entry, now, left);
+            for (PublishedList.Entry entry : list.entries()) {
+                TargetId id = entry.target().id();
+                listed.add(id);
+                if (publish(entry.target(), entry.revision(), now, left)) {
+                    news.add(TargetNews.of(entry.target(), entry.revision()));
+                }
             }
-            if (now - returned >= RETURN_GRACE.toNanos()) {
-                rows.values().stream()
-                        .filter(row -> !listed.contains(row.target().id()))
-                        .forEach(row -> withdraw(row, now, left));
+            boolean settled = now - returned >= RETURN_GRACE.toNanos();
+            for (TargetRow row : rows.values()) {
+                TargetId id = row.target().id();
+                boolean missing = !listed.contains(id) && !row.isWithdrawn() && row.revision() < list.revision();
+                if (missing && (settled || seenHere.contains(id))) {
+                    withdraw(row, list.revision(), now, left);
+                    news.add(TargetNews.withdrawn(id, list.revision()));
+                }
             }
+            seenHere.addAll(listed);
             forget(now);
+            refresh();
+        }
+        if (!news.isEmpty()) {
+            onRead.accept(news);
         }
         announce(left);
     }
 
-    private void publish(ForwardTarget entry, long now, List<TargetRow> left) {
+    /** Takes entries that other instances have read. */
+    void heard(Collection<PublishedTarget> entries) {
+        List<TargetRow> left = new ArrayList<>();
+        List<PublishedTarget> corrections = new ArrayList<>();
+        synchronized (this) {
+            long now = timer.nanos();
+            for (PublishedTarget entry : entries) {
+                TargetId id = new TargetId(entry.getTarget());
+                TargetRow row = rows.get(id);
+                if (row != null && row.revision() > entry.getRevision()) {
+                    // The reader has not seen a later entry that was read here.
+                    corrections.add(
+                            row.isWithdrawn()
+                                    ? TargetNews.withdrawn(id, row.revision())
+                                    : TargetNews.of(row.target(), row.revision()));
+                    continue;
+                }
+                Optional<ForwardTarget> target = TargetNews.target(entry);
+                if (target.isPresent()) {
+                    publish(target.get(), entry.getRevision(), now, left);
+                } else if (row != null && !row.isWithdrawn() && row.revision() < entry.getRevision()) {
+                    withdraw(row, entry.getRevision(), now, left);
+                }
+            }
+            refresh();
+        }
+        if (!corrections.isEmpty()) {
+            onRead.accept(corrections);
+        }
+        announce(left);
+    }
+
+    /** Notes that all changes up to a read of the given age are known. */
+    synchronized void heardAsOf(Duration age) {
+        asOf(timer.nanos() - age.toNanos());
+    }
+
+    private void asOf(long nanos) {
+        if (!known || nanos - knownAsOf > 0) {
+            known = true;
+            knownAsOf = nanos;
+        }
+    }
+
+    /** Returns the age of the newest read, here or elsewhere, whose results are all known; empty if there was none. */
+    public synchronized Optional<Duration> age() {
+        return known ? Optional.of(Duration.ofNanos(timer.nanos() - knownAsOf)) : Optional.empty();
+    }
+
+    /** Stores an entry and returns whether it says something new. */
+    private boolean publish(ForwardTarget entry, long revision, long now, List<TargetRow> left) {
         TargetRow row = rows.get(entry.id());
-        if (row == null) {
-            row = new TargetRow(entry);
+        if (row != null && row.revision() >= revision) {
+            return false;
+        }
+        boolean isNew = row == null;
+        if (isNew) {
+            row = new TargetRow(entry, revision, this::ownLoadChanged);
             rows.put(entry.id(), row);
+            applyPeerLoads(row);
             LogEvent.of("target.found")
                     .with("target", entry.id())
                     .with("service", entry.service())
@@ -93,17 +190,19 @@
                     .info(LOG);
         }
         boolean wasLeaving = row.isLeaving();
-        row.publish(entry);
+        boolean same = !isNew && !row.isWithdrawn() && row.target().saysSame(entry);
+        row.publish(entry, revision);
         if (!entry.leaving()) {
             leavingSince.remove(entry.id());
         } else if (!wasLeaving || !leavingSince.containsKey(entry.id())) {
             leaves(row, "draining", now, left);
         }
+        return !same;
     }
 
-    private void withdraw(TargetRow row, long now, List<TargetRow> left) {
+    private void withdraw(TargetRow row, long revision, long now, List<TargetRow> left) {
         boolean wasLeaving = row.isLeaving();
-        row.withdraw();
+        row.withdraw(revision);
         if (!wasLeaving) {
             leaves(row, "withdrawn", now, left);
         }
@@ -130,11 +229,18 @@
         });
     }
 
+    private void refresh() {
+        Map<ServiceName, List<TargetRow>> next = new HashMap<>();
+        rows.values().stream()
+                .filter(row -> !row.isLeaving())
+                .forEach(row -> next.computeIfAbsent(row.target().service(), s -> new ArrayList<>())
+                        .add(row));
+        candidates = next;
+    }
+
     private void announce(List<TargetRow> left) {
         left.forEach(row -> row.flights().forEach(Flight::targetLeaves));
-        if (!left.isEmpty()) {
-            onNews.run();
-        }
+        changed();
     }
 
     /** The list could not be read. */
@@ -145,18 +251,14 @@
         }
     }
 
-    /** Tells whether the list was read at least once. */
+    /** Tells whether the list was read at least once, here or elsewhere. */
     public synchronized boolean isKnown() {
-        return everRead;
+        return known;
     }
 
-    /** Returns the targets of a service that may get new work. */
-    synchronized List<TargetRow> candidates(ServiceName service) {
-        long now = timer.nanos();
-        return rows.values().stream()
-                .filter(row -> row.target().service().equals(service) && !row.isLeaving())
-                .filter(row -> !peersSayLeaving(row.target().id(), now))
-                .toList();
+    /** Returns the targets of a service that may get new work; the list must not be changed. */
+    List<TargetRow> candidates(ServiceName service) {
+        return candidates.getOrDefault(service, List.of());
     }
 
     /** Returns how many targets of a service were found to leave within the given time. */
@@ -168,68 +270,59 @@
                 .count();
     }
 
-    private boolean peersSayLeaving(TargetId id, long now) {
-        return leavingAtPeers.values().stream()
-                .map(said -> said.get(id))
-                .anyMatch(heard -> heard != null && lastRead - heard < PEER_WORD.toNanos());
+    /** Tells whether a target must get no new work. */
+    boolean isLeaving(TargetRow row) {
+        return row.isLeaving();
     }
 
-    /** Tells whether a target must get no new work. */
-    synchronized boolean isLeaving(TargetRow row) {
-        return row.isLeaving() || peersSayLeaving(row.target().id(), timer.nanos());
+    /** Returns what this instance has at each target, for peers. */
+    synchronized List<TargetLoad> ownLoads() {
+        return rows.values().stream()
+                .filter(row -> row.ownRequests() > 0 || row.ownTokens() > 0)
+                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), inSteps(row.ownTokens()))
+                        .setUnreadTokens(inSteps(row.unreadTokens())))
+                .toList();
     }
 
-    /** Returns the targets that the list shows as leaving or has dropped, for peers. */
-    synchronized Set<TargetId> leaving() {
-        return Set.copyOf(leavingSince.keySet());
+    private static long inSteps(long tokens) {
+        return (tokens + TOKEN_STEP / 2) / TOKEN_STEP * TOKEN_STEP;
     }
 
-    /** Takes the leaving targets of a peer, which replace what it said before. */
-    void peerLeaving(InstanceId peer, Set<TargetId> targets) {
-        List<TargetRow> left = new ArrayList<>();
+    /** Takes what another instance has at each target, which replaces what it said before. */
+    void peerLoads(InstanceId peer, List<TargetLoad> loads) {
         synchronized (this) {
-            long now = timer.nanos();
-            Map<TargetId, Long> before = leavingAtPeers.getOrDefault(peer, Map.of());
-            Map<TargetId, Long> said = new HashMap<>();
-            for (TargetId id : targets) {
-                said.put(id, before.getOrDefault(id, now));
-                TargetRow row = rows.get(id);
-                if (!before.containsKey(id) && row != null && !isLeaving(row)) {
-                    left.add(row);
-                }
-            }
-            leavingAtPeers.put(peer, said);
+            Map<TargetId, TargetRow.PeerLoad> next = new HashMap<>();
+            loads.forEach(load -> next.put(
+                    new TargetId(load.getTarget()),
+                    new TargetRow.PeerLoad(load.getRequests(), load.getTokens(), load.getUnreadTokens())));
+            Map<TargetId, TargetRow.PeerLoad> before = Objects.requireNonNullElse(
+                    next.isEmpty() ? peerLoads.remove(peer) : peerLoads.put(peer, next), Map.of());
+            before.keySet().stream()
+                    .filter(id -> !next.containsKey(id))
+                    .forEach(id -> peerLoad(peer, id, TargetRow.PeerLoad.NONE));
+            next.forEach((id, load) -> peerLoad(peer, id, load));
         }
-        left.forEach(row -> row.flights().forEach(Flight::targetLeaves));
+        changed();
     }
 
-    /** Returns what this instance has at each target, for peers. */
-    synchronized List<TargetLoad> ownLoads() {
-        return rows.values().stream()
-                .filter(row -> row.ownRequests() > 0 || row.ownTokens() > 0)
-                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens())
-                        .setUnreadTokens(row.unreadTokens()))
-                .toList();
+    private void peerLoad(InstanceId peer, TargetId target, TargetRow.PeerLoad load) {
+        TargetRow row = rows.get(target);
+        if (row != null) {
+            row.peerLoad(peer, load);
+        }
     }
 
-    /** Takes what a peer has at each target, which replaces what it said before. */
-    synchronized void peerLoads(InstanceId peer, List<TargetLoad> loads) {
-        Map<String, TargetLoad> byTarget =
-                loads.stream().collect(Collectors.toMap(TargetLoad::getTarget, load -> load, (a, b) -> b));
-        rows.values().forEach(row -> {
-            TargetLoad load = byTarget.get(row.target().id().value());
-            if (load == null) {
-                row.forgetPeer(peer);
-            } else {
-                row.peerLoad(
-                        peer, new TargetRow.PeerLoad(load.getRequests(), load.getTokens(), load.getUnreadTokens()));
+    private void applyPeerLoads(TargetRow row) {
+        peerLoads.forEach((peer, loads) -> {
+            TargetRow.PeerLoad load = loads.get(row.target().id());
+            if (load != null) {
+                row.peerLoad(peer, load);
             }
         });
     }
 
-    /** Forgets what a peer said, after it has gone. */
-    synchronized void forgetPeer(InstanceId peer) {
-        leavingAtPeers.remove(peer);
-        rows.values().forEach(row -> row.forgetPeer(peer));
+    /** Forgets what another instance said, after it has gone. */
+    void forgetPeer(InstanceId peer) {
+        peerLoads(peer, List.of());
     }
 }
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/TargetNews.java
@@ -0,0 +1,51 @@
+package org.verbenatally.forward;
+
+import java.util.Optional;
+
+import org.verbenatally.core.Address;
+import org.verbenatally.core.FailureDomain;
+import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.TargetId;
+import org.verbenatally.wire.PublishedTarget;
+import org.verbenatally.wire.TargetEntry;
+
+/** Translates published entries from and to the form in which instances pass them on. */
+final class TargetNews {
+    private TargetNews() {}
+
+    static PublishedTarget of(ForwardTarget target, long revision) {
+        return withdrawn(target.id(), revision)
+                .setEntry(new TargetEntry(
+                        target.service().value(),
+                        target.address().host(),
+                        target.address().port(),
+                        target.failureDomain().value(),
+                        target.slots(),
+                        target.leaving(),
+                        target.startedMs(),
+                        target.coldMs()));
+    }
+
+    static PublishedTarget withdrawn(TargetId id, long revision) {
+        return new PublishedTarget(id.value(), revision);
+    }
+
+    /**
+     * Returns the target of an entry, or empty if it is no longer published.
+     *
+     * @throws IllegalArgumentException if a field is not valid; the message names it
+     */
+    static Optional<ForwardTarget> target(PublishedTarget entry) {
+        TargetId id = new TargetId(entry.getTarget());
+        return Optional.ofNullable(entry.getEntry())
+                .map(e -> new ForwardTarget(
+                        id,
+                        e.getStartedMs(),
+                        new ServiceName(e.getServiceName()),
+                        new Address(e.getHost(), e.getPort()),
+                        new FailureDomain(e.getFailureDomain()),
+                        e.getSlots(),
+                        e.isLeaving(),
+                        e.getColdMs()));
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/TargetRow.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetRow.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
@@ -23,9 +24,12 @@
 
     private volatile ForwardTarget target;
     private volatile boolean withdrawn;
+    private volatile long revision;
+    private final Runnable onLoad;
     private final Set<Flight> flights = ConcurrentHashMap.newKeySet();
     private final Set<Flight> copies = ConcurrentHashMap.newKeySet();
     private final Map<InstanceId, PeerLoad> peers = new HashMap<>();
+    private volatile PeerLoad peerSum = PeerLoad.NONE;
     private long suspendedUntil;
     private boolean suspended;
     private boolean inDoubt;
@@ -40,27 +44,56 @@
      * @param tokens memory that they are expected to need, in tokens
      * @param unreadTokens prompt tokens among them that the target has probably not read yet
      */
-    record PeerLoad(int requests, long tokens, long unreadTokens) {}
+    record PeerLoad(int requests, long tokens, long unreadTokens) {
+        static final PeerLoad NONE = new PeerLoad(0, 0, 0);
+
+        private PeerLoad plus(PeerLoad other, int sign) {
+            return new PeerLoad(
+                    requests + sign * other.requests,
+                    tokens + sign * other.tokens,
+                    unreadTokens + sign * other.unreadTokens);
+        }
+    }
 
-    TargetRow(ForwardTarget target) {
-        this.target = target;
+    /**
+     * Creates a row without load.
+     *
+     * @param revision revision of the published list at which the entry was written
+     * @param onLoad told whenever the load of this instance at the target changes
+     */
+    TargetRow(ForwardTarget target, long revision, Runnable onLoad) {
+        this.target = Objects.requireNonNull(target, "target");
+        this.revision = revision;
+        this.onLoad = Objects.requireNonNull(onLoad, "onLoad");
     }
 
     ForwardTarget target() {
         return target;
     }
 
-    void publish(ForwardTarget entry) {
+    /** Returns the revision of the published list up to which the entry is known. */
+    long revision() {
+        return revision;
+    }
+
+    /** Takes the entry as it was published at a revision. */
+    void publish(ForwardTarget entry, long at) {
         if (!entry.isSameRun(target)) {
             recovered();
         }
         target = entry;
         withdrawn = false;
+        revision = at;
     }
 
-    /** The published list no longer has it. */
-    void withdraw() {
+    /** The published list no longer has it at a revision. */
+    void withdraw(long at) {
         withdrawn = true;
+        revision = at;
+    }
+
+    boolean isWithdrawn() {
+        return withdrawn;
     }
 
     boolean isLeaving() {
@@ -69,18 +102,29 @@
 
     void begin(Flight flight) {
         flights.add(flight);
+        loadChanged(flight);
     }
 
     void end(Flight flight) {
         flights.remove(flight);
+        loadChanged(flight);
     }
 
     void keepCopy(Flight flight) {
         copies.add(flight);
+        loadChanged(flight);
     }
 
     void dropCopy(Flight flight) {
         copies.remove(flight);
+        loadChanged(flight);
+    }
+
+    /** Calls of plain services end before others have heard of them. */
+    void loadChanged(Flight flight) {
+        if (flight.isGeneration()) {
+            onLoad.run();
+        }
     }
 
     List<Flight> flights() {
@@ -101,23 +145,20 @@
     }
 
     synchronized void peerLoad(InstanceId peer, PeerLoad load) {
-        peers.put(peer, load);
-    }
-
-    synchronized void forgetPeer(InstanceId peer) {
-        peers.remove(peer);
+        PeerLoad before = load.equals(PeerLoad.NONE) ? peers.remove(peer) : peers.put(peer, load);
+        peerSum = peerSum.plus(load, 1).plus(before == null ? PeerLoad.NONE : before, -1);
     }
 
-    synchronized int peerRequests() {
-        return peers.values().stream().mapToInt(PeerLoad::requests).sum();
+    int peerRequests() {
+        return peerSum.requests();
     }
 
-    synchronized long peerTokens() {
-        return peers.values().stream().mapToLong(PeerLoad::tokens).sum();
+    long peerTokens() {
+        return peerSum.tokens();
     }
 
-    synchronized long peerUnreadTokens() {
-        return peers.values().stream().mapToLong(PeerLoad::unreadTokens).sum();
+    long peerUnreadTokens() {
+        return peerSum.unreadTokens();
     }
 
     /** The target could not be reached, or fell silent. */
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ReadPaceTest.java
@@ -0,0 +1,37 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.Optional;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReadPaceTest {
+    private static final Duration STALE = Duration.ofSeconds(1);
+    private final ReadPace pace = new ReadPace(STALE);
+
+    /** Pattern: a fleet that grows. Guards against reads that grow with it, and against departures noticed late. */
+    @ParameterizedTest
+    @ValueSource(ints = {8, 30, 95, 330})
+    void fleetReadsAtAConstantRate(int members) {
+        double reads = 0;
+        for (int i = 0; i < members; i++) {
+            reads += 1e9 / pace.pause(members, true).toNanos();
+        }
+        assertThat(reads).isBetween(8.0, 12.0);
+        assertThat(members * 1e9 / pace.watch(members).toNanos()).isLessThanOrEqualTo(11);
+    }
+
+    /** Guards against an instance of which nobody tells anything, and that does not read for itself. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 95})
+    void loneInstanceReadsEachSecond(int members) {
+        assertThat(pace.leastPause()).isLessThanOrEqualTo(Duration.ofSeconds(1));
+        assertThat(pace.untilStale(Optional.empty())).isZero();
+        assertThat(pace.untilStale(Optional.of(STALE.plusMillis(1)))).isZero();
+        assertThat(pace.untilStale(Optional.of(Duration.ofMillis(400)))).isEqualTo(Duration.ofMillis(600));
+        assertThat(pace.pause(members, false)).isLessThanOrEqualTo(Duration.ofSeconds(2));
+    }
+}
--- a/forward/src/test/java/org/verbenatally/forward/Targets.java
+++ b/forward/src/test/java/org/verbenatally/forward/Targets.java
@@ -1,5 +1,8 @@
 package org.verbenatally.forward;
 
+import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+
 import org.verbenatally.core.Address;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.ServiceName;
@@ -10,8 +13,18 @@
     static final ServiceName SERVICE = new ServiceName("service");
     static final FailureDomain HERE = new FailureDomain("here");
 
+    private static final AtomicLong REVISION = new AtomicLong();
+
     private Targets() {}
 
+    /** Returns the entries as a list read later than all before, in which each was written just now. */
+    static PublishedList list(List<ForwardTarget> targets) {
+        long revision = REVISION.incrementAndGet();
+        return new PublishedList(
+                revision,
+                targets.stream().map(t -> new PublishedList.Entry(t, revision)).toList());
+    }
+
     static ForwardTarget ready(String id) {
         return entry(id, "here", false);
     }
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -55,7 +55,40 @@
   2: required i32 requests,
   3: required i64 tokens,
   /** Prompt tokens among them that the target has probably not read yet; absent: none. */
-  4: optional i64 unreadTokens
+  4: optional i64 unreadTokens,
+  /** Grows with each statement of the run; of two statements about one target the higher one counts. */
+  5: optional i64 number
+}
+
+/** Loads that one run of an instance states; all instances pass them on. */
+struct InstanceLoads {
+  1: required string instance,
+  2: required i64 incarnation,
+  3: required list<TargetLoad> loads
+}
+
+/** What the platform publishes about a target. */
+struct TargetEntry {
+  1: required string serviceName,
+  2: required string host,
+  3: required i32 port,
+  4: required string failureDomain,
+  /** Requests that it serves at once. */
+  5: required i32 slots,
+  6: required bool leaving,
+  /** When this run of the target started, in milliseconds since the epoch; 0 if it does not say. */
+  7: required i64 startedMs,
+  /** How much longer it is slow after its start, in milliseconds. */
+  8: required i64 coldMs
+}
+
+/** A published entry as one instance has read it. The one with the highest revision counts; all instances pass it on. */
+struct PublishedTarget {
+  1: required string target,
+  /** Revision of the platform's service at which the entry was written, or found missing. */
+  2: required i64 revision,
+  /** Absent if the target is no longer published. */
+  3: optional TargetEntry entry
 }
 
 /** A request fingerprint that was running when a target died. */
@@ -72,7 +105,8 @@
 /** Periodic state exchange; also the heartbeat of the link. */
 struct Gossip {
   1: required list<Member> members,
-  2: required list<TargetLoad> targetLoads,
+  /** Statements that the receiver may not have, the sender's own and those of others. */
+  2: required list<InstanceLoads> loads,
   3: required list<string> leavingTargets,
   4: required list<Suspect> suspects,
   5: required i64 configVersion,
@@ -81,8 +115,12 @@
   7: optional Beats beats,
   /** Row hashes that the sender does not know; the receiver answers with rows in its next frame. */
   8: optional list<i32> wantedRows,
-  /** Set if targetLoads, leavingTargets and suspects are left out and what was said before still holds. */
-  9: optional bool membersOnly
+  /** Set if leavingTargets and suspects are left out and what was said before still holds. */
+  9: optional bool membersOnly,
+  /** Published entries that the receiver may not have. */
+  10: optional list<PublishedTarget> published,
+  /** Age of the newest read of the published list that the sender knows all results of; absent: it knows of none. */
+  11: optional i32 publishedAgeMs
 }
 
 /** Asks for the sender's deployment document in force. */
