Send fewer frames between the instances of a large fleet

Ruled out: log lines, list reads. Found by the processor time of threads: frames (timer, event loop and reading tasks), and an alarm set and cancelled for each event of a stream.

Change: an entry that differs in its heartbeat only is not passed on; a link is not sent what its peer has sent; one of four chosen neighbours is in another failure domain; above nine members links carry a periodic frame each second, loads follow 4 ms a member after a change in a frame that stands for the periodic one; statuses are compared without arithmetic on durations; `AnswerFeed` sets one alarm for all waits.

--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -23,6 +23,7 @@
 import org.verbenatally.wire.PeerFrame;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
+import org.verbenatally.wire.TargetEntry;
 
 /** Builds the gossip frames of each link and applies what comes in. */
 final class GossipExchange {
@@ -50,7 +51,7 @@
     private final PeerHandler handler;
     private final LoadTable loads;
     private final NewestRows<String, PublishedTarget> published =
-            new NewestRows<>(Comparator.comparingLong(PublishedTarget::getRevision));
+            new NewestRows<>(Comparator.comparingLong(PublishedTarget::getRevision), GossipExchange::saysSame);
 
     private record SuspectKey(long high, long low) {}
 
@@ -84,13 +85,13 @@
     }
 
     /**
-     * Sends a frame on each link.
+     * Sends a frame on each link whose last one is a period old.
      *
      * @param complete whether leaving targets and suspects are sent at once on all links; otherwise they follow their
      *     own period
      */
     void sendRound(Collection<Link> links, boolean complete) {
-        loads.state(handler.targetLoads());
+        stateLoads();
         boolean mesh = isMesh();
         Own own = null;
         for (Link link : links) {
@@ -108,28 +109,30 @@
                 if (due && own == null) {
                     own = own(mesh);
                 }
-                send(link, due ? own : null, mesh);
+                if (due || timers.nanos() - link.gossip.nextFrame >= 0) {
+                    send(link, due ? own : null, mesh);
+                }
             }
         }
     }
 
     /** Sends all that changed on all links, for what must not wait for the period. */
     void sendChanges(Collection<Link> links) {
-        loads.state(handler.targetLoads());
+        stateLoads();
         forEachNeighbour(links, link -> send(link, null, isMesh()));
     }
 
-    /** Sends loads and published entries that changed, on the links that have not been sent them. */
-    void sendLoads(Collection<Link> links) {
+    /** Takes the present load of this instance into the next frames. */
+    void stateLoads() {
         loads.state(handler.targetLoads());
+    }
+
+    /** Sends a frame on each link that has not been sent all loads and published entries. */
+    void sendLoads(Collection<Link> links) {
         boolean mesh = isMesh();
         forEachNeighbour(links, link -> {
-            Spread spread = spread(link, mesh);
-            if (link.gossip.ownRowSent && !spread.isEmpty()) {
-                Gossip gossip = frame(List.of(), spread, null, List.of());
-                if (link.send(PeerFrame.gossip(gossip))) {
-                    spread.sent(link.gossip);
-                }
+            if (!spread(link, mesh).isEmpty()) {
+                send(link, null, mesh);
             }
         });
     }
@@ -144,9 +147,24 @@
         }
     }
 
-    /** Takes published entries that this instance has read. */
-    void publish(Collection<PublishedTarget> entries) {
-        entries.forEach(entry -> published.put(entry.getTarget(), entry, NewestRows.LOCAL));
+    /** Takes published entries that this instance has read, and returns whether any of them is news. */
+    boolean publish(Collection<PublishedTarget> entries) {
+        boolean news = false;
+        for (PublishedTarget entry : entries) {
+            news |= published.put(entry.getTarget(), entry, NewestRows.LOCAL);
+        }
+        return news;
+    }
+
+    /** Heartbeats change the revision alone. How long a target is still slow is told only when that is over. */
+    private static boolean saysSame(PublishedTarget a, PublishedTarget b) {
+        TargetEntry before = a.getEntry();
+        TargetEntry after = b.getEntry();
+        if (before == null || after == null) {
+            return before == after;
+        }
+        boolean samePace = before.getColdMs() > 0 == after.getColdMs() > 0;
+        return samePace && new TargetEntry(before).setColdMs(0).equals(new TargetEntry(after).setColdMs(0));
     }
 
     /** Counts the loads of those members only that are heard of. */
@@ -244,6 +262,10 @@
             state.sentState = changes.serial();
             state.sentBeat = changes.serial();
             spread.sent(state);
+            // Half a gossip period less, so that a tick that comes a little early does not skip a turn.
+            state.nextFrame = timers.nanos()
+                    + timings.framePeriod(membership.fleet()).toNanos()
+                    - timings.gossip().toNanos() / 2;
             state.wantedByPeer.removeAll(wantedByPeer);
             state.unknown.removeAll(unknown);
             if (own != null) {
@@ -279,18 +301,19 @@
         return new SuspectState(s.getCrashes(), s.getIsolatedCrashes(), s.getRunningOn());
     }
 
-    /** How soon what a frame brought must be passed on. */
-    enum News {
-        /** With the next frame. */
-        NONE,
-        /** When changes of loads are due. */
-        LOADS,
-        /** At once: about members, or about targets that come or leave. */
-        URGENT
+    /**
+     * What a frame brought that must be passed on before the period is over.
+     *
+     * @param members whether a member leaves, has left or was replaced
+     * @param targets whether published entries changed
+     * @param loads whether loads changed
+     */
+    record News(boolean members, boolean targets, boolean loads) {
+        private static final News NONE = new News(false, false, false);
     }
 
     /**
-     * Applies a frame and returns how soon its news must be passed on.
+     * Applies a frame and returns its news.
      *
      * @throws IllegalArgumentException if a field is not valid
      */
@@ -306,12 +329,12 @@
         if (gossip.getWantedRows() != null) {
             link.gossip.wanted(gossip.getWantedRows());
         }
-        urgent |= receivePublished(link, gossip);
-        boolean news = loads.receive(gossip.getLoads(), link.id, handler::onTargetLoads);
+        boolean targets = receivePublished(link, gossip);
+        boolean changed = loads.receive(gossip.getLoads(), link.id, handler::onTargetLoads);
         if (!gossip.isMembersOnly()) {
             receiveState(link, gossip);
         }
-        return urgent ? News.URGENT : news ? News.LOADS : News.NONE;
+        return new News(urgent, targets, changed);
     }
 
     private boolean receivePublished(Link link, Gossip gossip) {
--- a/core/src/main/java/org/verbenatally/peer/Link.java
+++ b/core/src/main/java/org/verbenatally/peer/Link.java
@@ -76,6 +76,7 @@
         long sentLoads;
         long sentPublished;
         long nextState;
+        long nextFrame;
         final Set<Integer> wantedByPeer = new HashSet<>();
         final Set<Integer> unknown = new HashSet<>();
         final Map<Object, Object> sentSuspects = new HashMap<>();
--- a/core/src/main/java/org/verbenatally/peer/Links.java
+++ b/core/src/main/java/org/verbenatally/peer/Links.java
@@ -42,6 +42,9 @@
     /** Links that an instance opens in a larger fleet; it accepts about as many, which gives eight neighbours. */
     private static final int DIALLED_NEIGHBOURS = 4;
 
+    /** As many of them are in other failure domains; traffic between these is dear, and news needs few ways there. */
+    private static final int FAR_NEIGHBOURS = 1;
+
     /** A peer that cannot be reached is tried again after one, two, four, ... up to this many gossip periods. */
     private static final int MAX_BACKOFF_PERIODS = 10;
 
@@ -332,24 +335,50 @@
         List<Link> own =
                 new ArrayList<>(linked.values().stream().filter(l -> l.dialled).toList());
         own.sort(Comparator.comparingLong(l -> l.opened));
-        int wanted = DIALLED_NEIGHBOURS;
+        List<Link> far = own.stream().filter(this::isFar).toList();
+        List<MemberInfo> candidates = new ArrayList<>(missing);
+        ListSampler.shuffle(random, candidates);
+        int wantedFar = FAR_NEIGHBOURS - far.size();
         if (now - nextRenewal >= 0) {
             Duration share = options.timings().neighbourRenewal().dividedBy(DIALLED_NEIGHBOURS);
             nextRenewal = now + share.toNanos();
-            wanted++;
-        }
-        if (own.size() > DIALLED_NEIGHBOURS && wanted == DIALLED_NEIGHBOURS) {
-            own.getFirst().close("neighbour renewal");
+            boolean renewFar = random.nextInt(DIALLED_NEIGHBOURS) < FAR_NEIGHBOURS;
+            dialSome(candidates, 1, renewFar ? 1 : 0);
+        } else if (own.size() > DIALLED_NEIGHBOURS) {
+            Link oldest = wantedFar < 0
+                    ? far.getFirst()
+                    : own.stream().filter(l -> !isFar(l)).findFirst().orElse(own.getFirst());
+            oldest.close("neighbour renewal");
+        } else {
+            dialSome(candidates, DIALLED_NEIGHBOURS - own.size(), wantedFar);
         }
-        List<MemberInfo> candidates = new ArrayList<>(missing);
-        ListSampler.shuffle(random, candidates);
-        candidates.stream()
+    }
+
+    /** Dials members, as many of other failure domains as stated if there are, the rest as near as possible. */
+    private void dialSome(List<MemberInfo> candidates, int wanted, int wantedFar) {
+        List<MemberInfo> far = candidates.stream().filter(this::isFar).toList();
+        int first = Math.min(Math.max(0, wantedFar), far.size());
+        List<MemberInfo> order = new ArrayList<>(far.subList(0, first));
+        candidates.stream().filter(m -> !isFar(m)).forEach(order::add);
+        order.addAll(far.subList(first, far.size()));
+        order.stream()
                 .map(MemberInfo::address)
                 .filter(this::mayDial)
-                .limit(Math.max(0, wanted - own.size()))
+                .limit(Math.max(0, wanted))
                 .forEach(this::dialIfDue);
     }
 
+    private boolean isFar(MemberInfo member) {
+        return !member.failureDomain().equals(options.failureDomain());
+    }
+
+    private boolean isFar(Link link) {
+        return membership
+                .current(link.peer().instance())
+                .filter(row -> !row.failureDomain().equals(options.failureDomain()))
+                .isPresent();
+    }
+
     /** Restarts the silence timeout of all links, after a pause of this process. */
     void forgiveSilence() {
         long now = timers.nanos();
--- a/core/src/main/java/org/verbenatally/peer/LoadTable.java
+++ b/core/src/main/java/org/verbenatally/peer/LoadTable.java
@@ -32,6 +32,9 @@
     /** A target without requests is stated for this long, so that all instances hear of the end of its load. */
     private static final long ENDED_MEMORY_NANOS = TimeUnit.MINUTES.toNanos(1);
 
+    /** A change of the tokens alone is stated from this many on: a growing generation is not news all the time. */
+    private static final long LEAST_TOKENS_CHANGE = 1_024;
+
     private record Key(InstanceId instance, String target) {}
 
     private record Row(Run run, TargetLoad load) {}
@@ -66,7 +69,8 @@
     private final TimerService timer;
     private final NewestRows<Key, Row> rows = new NewestRows<>(
             Comparator.<Row, Incarnation>comparing(row -> row.run().incarnation())
-                    .thenComparingLong(row -> row.load().getNumber()));
+                    .thenComparingLong(row -> row.load().getNumber()),
+            Row::equals);
     private final Map<InstanceId, Stated> instances = new HashMap<>();
     private long number;
 
@@ -92,7 +96,7 @@
             TargetLoad before = own.loads.get(load.getTarget());
             boolean same = before != null
                     && before.getRequests() == load.getRequests()
-                    && before.getTokens() == load.getTokens()
+                    && Math.abs(before.getTokens() - load.getTokens()) < LEAST_TOKENS_CHANGE
                     && before.getUnreadTokens() == load.getUnreadTokens();
             if (!same) {
                 state(own, load);
--- a/core/src/main/java/org/verbenatally/peer/Membership.java
+++ b/core/src/main/java/org/verbenatally/peer/Membership.java
@@ -55,7 +55,9 @@
     private long pauseGeneration;
     private long staleUntil;
     private long nextBeat;
-    private int fleet = 1;
+    private int fleet;
+    private long suspectNanos;
+    private long goneNanos;
     private boolean namesakeSeen;
 
     private static final class Row {
@@ -84,6 +86,7 @@
         this.self = own.run();
         this.timings = timings;
         this.timers = timers;
+        setFleet(1);
         pauseGeneration = timers.pauseGeneration();
         nextBeat = timers.nanos();
         put(own, LOCAL);
@@ -269,7 +272,7 @@
             MemberRow own = rows.get(self).row;
             put(own.beat(own.heartbeat() + 1, own.configVersion()), LOCAL);
         }
-        fleet = size();
+        setFleet(size());
         Set<InstanceId> newlyGone = new HashSet<>();
         long askAgain = timings.gossip().multipliedBy(ASK_AGAIN_PERIODS).toNanos();
         asked.values().removeIf(t -> now - t > askAgain);
@@ -296,6 +299,14 @@
         return newlyGone;
     }
 
+    private void setFleet(int members) {
+        if (members != fleet) {
+            fleet = members;
+            suspectNanos = timings.suspectAfter(members).toNanos();
+            goneNanos = timings.goneAfter(members).toNanos();
+        }
+    }
+
     /** Changes the own row; returns whether that is news for the peers. */
     synchronized boolean setOwn(MemberState state, Optional<Run> successor) {
         MemberRow own = rows.get(self).row;
@@ -408,10 +419,10 @@
             return Status.GONE;
         }
         long silent = now - row.advanced;
-        if (silent >= timings.goneAfter(fleet).toNanos()) {
+        if (silent >= goneNanos) {
             return Status.GONE;
         }
-        if (silent >= timings.suspectAfter(fleet).toNanos()) {
+        if (silent >= suspectNanos) {
             return Status.SUSPECT;
         }
         return row.row.state() == MemberState.LEAVING ? Status.LEAVING : Status.LIVE;
--- a/core/src/main/java/org/verbenatally/peer/NewestRows.java
+++ b/core/src/main/java/org/verbenatally/peer/NewestRows.java
@@ -1,12 +1,14 @@
 package org.verbenatally.peer;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.BiPredicate;
 
 /**
  * A table that instances pass on to each other row by row. Of two values of one key the newer one counts, so that the
@@ -19,7 +21,23 @@
     /** Stands for this instance where the number of a link is expected. */
     static final int LOCAL = 0;
 
-    private record Row<V>(V value, long serial, int via) {}
+    /**
+     * A row.
+     *
+     * @param serial grows with each change that is passed on
+     * @param knownBy links whose peers have sent the row themselves
+     */
+    private record Row<V>(V value, long serial, int[] knownBy) {
+        boolean isKnownBy(int link) {
+            return Arrays.stream(knownBy).anyMatch(known -> known == link);
+        }
+
+        Row<V> withPeer(int link) {
+            int[] more = Arrays.copyOf(knownBy, knownBy.length + 1);
+            more[knownBy.length] = link;
+            return new Row<>(value, serial, more);
+        }
+    }
 
     /**
      * Rows that a link has not been sent yet.
@@ -31,6 +49,7 @@
     record Batch<V>(List<V> values, long serial, boolean complete) {}
 
     private final Comparator<V> versions;
+    private final BiPredicate<V, V> same;
     /** In the order of the last change. */
     private final Map<K, Row<V>> rows = new LinkedHashMap<>();
 
@@ -40,25 +59,44 @@
      * Creates an empty table.
      *
      * @param versions compares the versions of two values of one key
+     * @param same tells whether two values differ in their version only, so that the newer one is not passed on
      */
-    NewestRows(Comparator<V> versions) {
+    NewestRows(Comparator<V> versions, BiPredicate<V, V> same) {
         this.versions = Objects.requireNonNull(versions, "versions");
+        this.same = Objects.requireNonNull(same, "same");
     }
 
     /**
-     * Stores a value unless the present one is as new.
+     * Stores a value unless the present one is as new. Whoever sent an older one that says something else is sent the
+     * present one.
      *
-     * @param via the link that it came by, which is not sent it again
-     * @return whether it was stored
+     * @param via the link that it came by, whose peer is not sent it again
+     * @return whether it says something new
      */
     synchronized boolean put(K key, V value, int via) {
         Row<V> before = rows.get(key);
-        if (before != null && versions.compare(before.value, value) >= 0) {
+        if (before == null) {
+            change(key, value, via);
+            return true;
+        }
+        boolean newer = versions.compare(before.value, value) < 0;
+        if (same.test(before.value, value)) {
+            Row<V> now = newer ? new Row<>(value, before.serial, before.knownBy) : before;
+            rows.replace(key, before.isKnownBy(via) ? now : now.withPeer(via));
             return false;
         }
+        boolean older = versions.compare(before.value, value) > 0;
+        if (newer) {
+            change(key, value, via);
+        } else if (older) {
+            change(key, before.value, LOCAL);
+        }
+        return newer;
+    }
+
+    private void change(K key, V value, int via) {
         rows.remove(key);
-        rows.put(key, new Row<>(value, ++serial, via));
-        return true;
+        rows.put(key, new Row<>(value, ++serial, new int[] {via}));
     }
 
     synchronized Optional<V> get(K key) {
@@ -70,7 +108,7 @@
     }
 
     /**
-     * Returns what has changed since a serial, without what came by the link itself.
+     * Returns what has changed since a serial, without what came by the link as well.
      *
      * @param since serial of the last batch for the link, 0 for the first one
      * @param link number of the link
@@ -86,7 +124,7 @@
             if (row.serial <= since) {
                 continue;
             }
-            if (row.via != link) {
+            if (!row.isKnownBy(link)) {
                 if (values.size() == most) {
                     return new Batch<>(values, reached, false);
                 }
--- a/core/src/main/java/org/verbenatally/peer/PeerTimings.java
+++ b/core/src/main/java/org/verbenatally/peer/PeerTimings.java
@@ -31,6 +31,9 @@
     /** Fleets up to this size beat at the gossip period; above it the beat period grows with the fleet. */
     static final int FULL_RATE_MEMBERS = 64;
 
+    /** In a fleet without a link between any two members, links carry a periodic frame in each of this many periods. */
+    private static final int LARGE_FLEET_PERIODS = 2;
+
     /** A member needs this many beat periods without an advance to become suspect. */
     private static final int SUSPECT_PERIODS = 6;
 
@@ -68,14 +71,17 @@
     }
 
     /**
-     * Returns the period of the heartbeat counter. Each beat crosses each link about once, so the traffic of an
-     * instance grows with the number of members over this period; above {@link #FULL_RATE_MEMBERS} the ratio is
-     * constant.
+     * Returns the period of the heartbeat counter, at least that of the frames. Each beat crosses each link about once,
+     * so the traffic of an instance grows with the number of members over this period; above
+     * {@link #FULL_RATE_MEMBERS} the ratio is constant.
      */
     Duration beatPeriod(int members) {
-        return members <= FULL_RATE_MEMBERS
-                ? gossip
-                : gossip.multipliedBy(members).dividedBy(FULL_RATE_MEMBERS);
+        return max(framePeriod(members), gossip.multipliedBy(members).dividedBy(FULL_RATE_MEMBERS));
+    }
+
+    /** Returns the period of the frames on a link; changes that matter sooner have frames of their own. */
+    Duration framePeriod(int members) {
+        return members <= Links.FULL_MESH_MEMBERS ? gossip : gossip.multipliedBy(LARGE_FLEET_PERIODS);
     }
 
     /** Returns the suspect timeout in a fleet of this size. */
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -52,17 +52,17 @@
     /** Peers that a starting instance asks; with the platform unreachable this many cannot all be behind for long. */
     private static final int MAX_ASKED = 64;
 
-    /** Collects urgent changes that arrive together into one frame. */
+    /** Collects changes that arrive together into one frame. */
     private static final Duration FLUSH_DELAY = Duration.ofMillis(10);
 
     /** Collects changes of loads in a fleet where each instance has a link to each other. */
     private static final Duration LOAD_DELAY = Duration.ofMillis(5);
 
     /**
-     * The same in a larger fleet, for each member: loads change the more often the more members there are, so that the
-     * delay keeps the frames for them to a constant number for each change.
+     * In a larger fleet loads and members change the more often the more members there are; this delay for each of them
+     * keeps the frames of an instance to a constant number a second.
      */
-    private static final Duration LOAD_DELAY_OF_MEMBER = Duration.ofMillis(1);
+    private static final Duration DELAY_OF_MEMBER = Duration.ofMillis(4);
 
     private final PeerOptions options;
     private final Run self;
@@ -76,8 +76,11 @@
     private final Optional<PlatformReader> platform;
     private final List<Subscription> subscriptions = new ArrayList<>();
     private final AtomicBoolean flushPlanned = new AtomicBoolean();
+    private final AtomicBoolean targetsPlanned = new AtomicBoolean();
     private final AtomicBoolean loadsPlanned = new AtomicBoolean();
+    private final AtomicBoolean ownLoadsChanged = new AtomicBoolean();
     private volatile boolean asked;
+    private long nextRound;
 
     private Peers(
             PeerOptions options,
@@ -91,6 +94,7 @@
         this.options = options;
         this.timers = timers;
         this.handler = handler;
+        nextRound = timers.nanos();
         self = new Run(options.instance(), Incarnation.startedAt(timers.epochMillis()));
         var own = new MemberRow(
                 self,
@@ -254,24 +258,43 @@
     }
 
     private void tick() {
+        long now = timers.nanos();
+        if (now - nextRound < 0) {
+            return;
+        }
+        // Half a gossip period less, so that a tick that comes a little early does not skip a turn.
+        nextRound = now
+                + options.timings().framePeriod(membership.fleet()).toNanos()
+                - options.timings().gossip().toNanos() / 2;
         membership.tick().forEach(exchange::forget);
         exchange.tick();
         links.tick();
         exchange.sendRound(links.all(), false);
     }
 
+    private boolean isMesh() {
+        return membership.fleet() <= Links.FULL_MESH_MEMBERS;
+    }
+
+    private Duration delayOfLargeFleet() {
+        return DELAY_OF_MEMBER.multipliedBy(membership.fleet());
+    }
+
     private void flushSoon() {
-        flushAfter(FLUSH_DELAY, flushPlanned, exchange::sendChanges);
+        flushAfter(isMesh() ? FLUSH_DELAY : delayOfLargeFleet(), flushPlanned, exchange::sendChanges);
     }
 
-    private void flushLoads(boolean own) {
-        int members = membership.fleet();
-        if (members > Links.FULL_MESH_MEMBERS) {
-            flushAfter(LOAD_DELAY_OF_MEMBER.multipliedBy(members), loadsPlanned, exchange::sendLoads);
-        } else if (own) {
-            // What others say has reached all members of a mesh already.
-            flushAfter(LOAD_DELAY, loadsPlanned, exchange::sendLoads);
-        }
+    private void flushTargets() {
+        flushAfter(FLUSH_DELAY, targetsPlanned, exchange::sendLoads);
+    }
+
+    private void flushLoads() {
+        flushAfter(isMesh() ? LOAD_DELAY : delayOfLargeFleet(), loadsPlanned, all -> {
+            if (ownLoadsChanged.compareAndSet(true, false)) {
+                exchange.stateLoads();
+            }
+            exchange.sendLoads(all);
+        });
     }
 
     private void flushAfter(Duration delay, AtomicBoolean planned, Consumer<Collection<Link>> send) {
@@ -285,13 +308,15 @@
 
     /** Tells the peers soon that the loads of this instance have changed. */
     public void loadsChanged() {
-        flushLoads(true);
+        ownLoadsChanged.set(true);
+        flushLoads();
     }
 
-    /** Tells the peers at once of published entries that this instance has read. */
+    /** Takes the published entries that this instance has read and tells the peers at once of what is new. */
     public void publish(List<PublishedTarget> entries) {
-        exchange.publish(entries);
-        flushSoon();
+        if (exchange.publish(entries)) {
+            flushTargets();
+        }
     }
 
     /** Gives frames to the parts that handle them. */
@@ -323,10 +348,16 @@
         }
 
         private void onGossip(Link link, Gossip gossip) {
-            switch (exchange.receive(link, gossip)) {
-                case URGENT -> flushSoon();
-                case LOADS -> flushLoads(false);
-                default -> LOG.tracef("peer: %s had no news", link);
+            GossipExchange.News news = exchange.receive(link, gossip);
+            if (news.members()) {
+                flushSoon();
+            }
+            if (news.targets()) {
+                flushTargets();
+            }
+            if (news.loads() && !isMesh()) {
+                // In a mesh what others state has reached all members already.
+                flushLoads();
             }
             spreader.onPeerVersion(link, gossip.getConfigVersion(), gossip.getConfigDigest());
             link.firstGossip.complete(null);
--- a/core/src/test/java/org/verbenatally/peer/LoadTableTest.java
+++ b/core/src/test/java/org/verbenatally/peer/LoadTableTest.java
@@ -82,6 +82,17 @@
         assertThat(heard).containsEntry("far", 100L);
     }
 
+    /** Pattern: long generations. Guards against frames for every token, and against growth that is never told. */
+    @Test
+    void growthIsStatedInSteps() {
+        here.state(List.of(load("a", 5_000)));
+        long serial = here.changes(0, LINK, ALL).serial();
+        here.state(List.of(load("a", 5_500)));
+        assertThat(here.changes(serial, LINK, ALL).values()).isEmpty();
+        here.state(List.of(load("a", 6_100)));
+        assertThat(here.changes(serial, LINK, ALL).values()).hasSize(1);
+    }
+
     /** Guards against load that stays after its instance fell silent, and that is lost when it returns. */
     @Test
     void silentInstancesAreNotCountedUntilTheyReturn() {
--- a/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
+++ b/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
@@ -3,12 +3,13 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.concurrent.TimeoutException;
+import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.Context;
 import io.vertx.core.Promise;
+import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientResponse;
-import org.verbenatally.time.TimedAwait;
 
 /**
  * Reads the body of one answer piece by piece, in the task that asks for it. Also carries signals to that task. All
@@ -18,6 +19,10 @@
     /** Pieces that are held before the target is told to wait for a slow caller. */
     private static final int MAX_PIECES = 32;
 
+    private static final long NO_ALARM = -1;
+    /** Alarms are set in whole milliseconds. */
+    private static final long ALARM_TOLERANCE_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+
     /** What the next step of the answer is. */
     sealed interface Item {}
 
@@ -38,7 +43,12 @@
 
     private final Deque<Item> items = new ArrayDeque<>();
     private final HttpClientResponse response;
+    private final Context context = Vertx.currentContext();
     private Promise<Void> arrived;
+    private long waitUntil;
+    private long alarm = NO_ALARM;
+    private long alarmAt;
+    private boolean timedOut;
     private boolean ended;
     private boolean signalled;
 
@@ -73,6 +83,30 @@
         }
     }
 
+    /**
+     * Sets an alarm for the end of the present wait. It serves later waits as well, which mostly end sooner: an alarm
+     * for each event would cost more than to pass the event on.
+     */
+    private void setAlarm() {
+        context.owner().cancelTimer(alarm);
+        long millis = Math.max(1, TimeUnit.NANOSECONDS.toMillis(waitUntil - System.nanoTime()));
+        alarmAt = waitUntil;
+        alarm = context.owner().setTimer(millis, id -> alarm());
+    }
+
+    private void alarm() {
+        alarm = NO_ALARM;
+        if (arrived == null) {
+            return;
+        }
+        if (waitUntil - System.nanoTime() > ALARM_TOLERANCE_NANOS) {
+            setAlarm();
+        } else {
+            timedOut = true;
+            wake();
+        }
+    }
+
     /** Ends the present or the next wait. */
     void signal() {
         signalled = true;
@@ -82,14 +116,20 @@
     /** Returns the next item; waits for it at most the given time. */
     Item next(Duration limit) {
         if (items.isEmpty() && !signalled) {
+            timedOut = false;
+            waitUntil = System.nanoTime() + limit.toNanos();
             arrived = Promise.promise();
+            if (alarm == NO_ALARM || waitUntil - alarmAt < 0) {
+                setAlarm();
+            }
             try {
-                TimedAwait.await(arrived.future(), limit);
-            } catch (TimeoutException e) {
-                return new Silent();
+                arrived.future().await();
             } finally {
                 arrived = null;
             }
+            if (timedOut && items.isEmpty() && !signalled) {
+                return new Silent();
+            }
         }
         if (items.isEmpty()) {
             signalled = false;
--- a/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
@@ -41,14 +41,4 @@
     boolean isSameRun(ForwardTarget other) {
         return id.equals(other.id) && startedMs == other.startedMs && address.equals(other.address);
     }
-
-    /** Tells whether two entries say the same; how long a target is still slow does not count, only whether it is. */
-    boolean saysSame(ForwardTarget other) {
-        return isSameRun(other)
-                && service.equals(other.service)
-                && failureDomain.equals(other.failureDomain)
-                && slots == other.slots
-                && leaving == other.leaving
-                && coldMs > 0 == other.coldMs > 0;
-    }
 }
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -34,8 +34,6 @@
     private static final Duration RETURN_GRACE = Duration.ofSeconds(2);
     /** A target that has left is kept this long for requests that still run there and for slower peers. */
     private static final Duration MEMORY = Duration.ofSeconds(30);
-    /** Loads are stated in steps of this many tokens, so that a growing generation is not news all the time. */
-    private static final long TOKEN_STEP = 512;
 
     private final TimerService timer;
     private final Consumer<List<PublishedTarget>> onRead;
@@ -58,7 +56,7 @@
      * Creates an empty directory.
      *
      * @param timer clock
-     * @param onRead told of entries that this instance has read and that others may not know yet
+     * @param onRead given what this instance has read, to be passed on
      * @param onOwnLoad told whenever the load of this instance at an engine changes
      */
     public TargetDirectory(TimerService timer, Consumer<List<PublishedTarget>> onRead, Runnable onOwnLoad) {
@@ -84,7 +82,7 @@
     /** Takes the whole list as this instance has read it. */
     public void published(PublishedList list) {
         List<TargetRow> left = new ArrayList<>();
-        List<PublishedTarget> news = new ArrayList<>();
+        List<PublishedTarget> read = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
             if (!reachable) {
@@ -98,11 +96,9 @@
             asOf(now);
             Set<TargetId> listed = new HashSet<>();
             for (PublishedList.Entry entry : list.entries()) {
-                TargetId id = entry.target().id();
-                listed.add(id);
-                if (publish(entry.target(), entry.revision(), now, left)) {
-                    news.add(TargetNews.of(entry.target(), entry.revision()));
-                }
+                listed.add(entry.target().id());
+                publish(entry.target(), entry.revision(), now, left);
+                read.add(TargetNews.of(entry.target(), entry.revision()));
             }
             boolean settled = now - returned >= RETURN_GRACE.toNanos();
             for (TargetRow row : rows.values()) {
@@ -110,36 +106,25 @@
                 boolean missing = !listed.contains(id) && !row.isWithdrawn() && row.revision() < list.revision();
                 if (missing && (settled || seenHere.contains(id))) {
                     withdraw(row, list.revision(), now, left);
-                    news.add(TargetNews.withdrawn(id, list.revision()));
+                    read.add(TargetNews.withdrawn(id, list.revision()));
                 }
             }
             seenHere.addAll(listed);
             forget(now);
             refresh();
         }
-        if (!news.isEmpty()) {
-            onRead.accept(news);
-        }
+        onRead.accept(read);
         announce(left);
     }
 
     /** Takes entries that other instances have read. */
     void heard(Collection<PublishedTarget> entries) {
         List<TargetRow> left = new ArrayList<>();
-        List<PublishedTarget> corrections = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
             for (PublishedTarget entry : entries) {
                 TargetId id = new TargetId(entry.getTarget());
                 TargetRow row = rows.get(id);
-                if (row != null && row.revision() > entry.getRevision()) {
-                    // The reader has not seen a later entry that was read here.
-                    corrections.add(
-                            row.isWithdrawn()
-                                    ? TargetNews.withdrawn(id, row.revision())
-                                    : TargetNews.of(row.target(), row.revision()));
-                    continue;
-                }
                 Optional<ForwardTarget> target = TargetNews.target(entry);
                 if (target.isPresent()) {
                     publish(target.get(), entry.getRevision(), now, left);
@@ -149,9 +134,6 @@
             }
             refresh();
         }
-        if (!corrections.isEmpty()) {
-            onRead.accept(corrections);
-        }
         announce(left);
     }
 
@@ -172,14 +154,12 @@
         return known ? Optional.of(Duration.ofNanos(timer.nanos() - knownAsOf)) : Optional.empty();
     }
 
-    /** Stores an entry and returns whether it says something new. */
-    private boolean publish(ForwardTarget entry, long revision, long now, List<TargetRow> left) {
+    private void publish(ForwardTarget entry, long revision, long now, List<TargetRow> left) {
         TargetRow row = rows.get(entry.id());
         if (row != null && row.revision() >= revision) {
-            return false;
+            return;
         }
-        boolean isNew = row == null;
-        if (isNew) {
+        if (row == null) {
             row = new TargetRow(entry, revision, this::ownLoadChanged);
             rows.put(entry.id(), row);
             applyPeerLoads(row);
@@ -190,14 +170,12 @@
                     .info(LOG);
         }
         boolean wasLeaving = row.isLeaving();
-        boolean same = !isNew && !row.isWithdrawn() && row.target().saysSame(entry);
         row.publish(entry, revision);
         if (!entry.leaving()) {
             leavingSince.remove(entry.id());
         } else if (!wasLeaving || !leavingSince.containsKey(entry.id())) {
             leaves(row, "draining", now, left);
         }
-        return !same;
     }
 
     private void withdraw(TargetRow row, long revision, long now, List<TargetRow> left) {
@@ -279,15 +257,11 @@
     synchronized List<TargetLoad> ownLoads() {
         return rows.values().stream()
                 .filter(row -> row.ownRequests() > 0 || row.ownTokens() > 0)
-                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), inSteps(row.ownTokens()))
-                        .setUnreadTokens(inSteps(row.unreadTokens())))
+                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens())
+                        .setUnreadTokens(row.unreadTokens()))
                 .toList();
     }
 
-    private static long inSteps(long tokens) {
-        return (tokens + TOKEN_STEP / 2) / TOKEN_STEP * TOKEN_STEP;
-    }
-
     /** Takes what another instance has at each target, which replaces what it said before. */
     void peerLoads(InstanceId peer, List<TargetLoad> loads) {
         synchronized (this) {
