Forget targets that are long gone, and alarms of answers that have ended

Cause, found on reading the change: what was told of withdrawn targets was kept for ever; the alarm of a wait for an answer kept the exchange until the caller's patience was over, also when the answer had ended.

Links start their periods with the time at which they were opened.

--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -4,7 +4,6 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +22,6 @@
 import org.verbenatally.wire.PeerFrame;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
-import org.verbenatally.wire.TargetEntry;
 
 /** Builds the gossip frames of each link and applies what comes in. */
 final class GossipExchange {
@@ -50,8 +48,7 @@
     private final ConfigHolder<?> config;
     private final PeerHandler handler;
     private final LoadTable loads;
-    private final NewestRows<String, PublishedTarget> published =
-            new NewestRows<>(Comparator.comparingLong(PublishedTarget::getRevision), GossipExchange::saysSame);
+    private final PublishedTable published;
 
     private record SuspectKey(long high, long low) {}
 
@@ -69,6 +66,7 @@
         this.config = config;
         this.handler = handler;
         this.loads = new LoadTable(membership.own().run(), timers);
+        this.published = new PublishedTable(timers, timings.forget());
     }
 
     private static Gossip keepAlive() {
@@ -151,24 +149,14 @@
     boolean publish(Collection<PublishedTarget> entries) {
         boolean news = false;
         for (PublishedTarget entry : entries) {
-            news |= published.put(entry.getTarget(), entry, NewestRows.LOCAL);
+            news |= published.put(entry, NewestRows.LOCAL);
         }
         return news;
     }
 
-    /** Heartbeats change the revision alone. How long a target is still slow is told only when that is over. */
-    private static boolean saysSame(PublishedTarget a, PublishedTarget b) {
-        TargetEntry before = a.getEntry();
-        TargetEntry after = b.getEntry();
-        if (before == null || after == null) {
-            return before == after;
-        }
-        boolean samePace = before.getColdMs() > 0 == after.getColdMs() > 0;
-        return samePace && new TargetEntry(before).setColdMs(0).equals(new TargetEntry(after).setColdMs(0));
-    }
-
-    /** Counts the loads of those members only that are heard of. */
+    /** Counts the loads of those members only that are heard of, and forgets what is long past. */
     void tick() {
+        published.tick();
         Map<InstanceId, MemberInfo> members = new HashMap<>();
         membership.members().forEach(m -> members.put(m.instance(), m));
         loads.tick(id -> Optional.ofNullable(members.get(id)), handler::onTargetLoads);
@@ -343,7 +331,7 @@
             // Checked before any of it is used, so that a bad entry has no effect.
             handler.checkPublished(gossip.getPublished());
             news = gossip.getPublished().stream()
-                    .filter(entry -> published.put(entry.getTarget(), entry, link.id))
+                    .filter(entry -> published.put(entry, link.id))
                     .toList();
             handler.onPublished(news);
         }
--- a/core/src/main/java/org/verbenatally/peer/Link.java
+++ b/core/src/main/java/org/verbenatally/peer/Link.java
@@ -100,6 +100,8 @@
         opened = now;
         lastReceived = now;
         lastUsed = now;
+        gossip.nextState = now;
+        gossip.nextFrame = now;
         socket.setWriteQueueMaxSize(WRITE_QUEUE);
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
+++ b/forward/src/main/java/org/verbenatally/forward/AnswerFeed.java
@@ -68,6 +68,9 @@
     private void end(Item item) {
         if (!ended) {
             ended = true;
+            // An alarm would keep what the exchange holds until it is over.
+            context.owner().cancelTimer(alarm);
+            alarm = NO_ALARM;
             add(item);
         }
     }
