Ask a peer to the end that closed the link on which it was asked

A starting instance and its peers dial each other at the same time; of two links to a peer the one that the lower id opened stays. The instance with the higher id then lost the links on which it was asking, and took the end of a link for an answer. Ruled out: frames without a version (all carry it).

Change: only an address to which no connection could be made counts as answered without a version; a peer that was reached is waited for, on whichever link it tells its version, within the same bound as before.

Test: FaultTest.startingInstanceWaitsForAPeerThatKeepsAnotherLink, with a scripted peer; it failed before with the versions 3, 7 applied.

--- a/core/src/main/java/org/verbenatally/peer/Link.java
+++ b/core/src/main/java/org/verbenatally/peer/Link.java
@@ -230,7 +230,7 @@
     }
 
     /** The link ended before an answer arrived. */
-    static final class LinkClosedException extends Exception {
+    static class LinkClosedException extends Exception {
         private static final long serialVersionUID = 1;
 
         LinkClosedException(String message) {
--- a/core/src/main/java/org/verbenatally/peer/Links.java
+++ b/core/src/main/java/org/verbenatally/peer/Links.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -157,6 +158,21 @@
         return link;
     }
 
+    /** No connection to an address could be made, so that nobody has read anything. */
+    private static final class UnreachableException extends Link.LinkClosedException {
+        private static final long serialVersionUID = 1;
+
+        UnreachableException(Throwable cause) {
+            super("cannot connect: " + cause.getMessage());
+        }
+    }
+
+    /** Returns whether {@link #dial} failed because no connection could be made. */
+    static boolean isUnreachable(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof UnreachableException;
+    }
+
     /** Opens a link; the future completes after the peer's hello. */
     CompletableFuture<Link> dial(Address address, boolean callsOnly) {
         var result = new CompletableFuture<Link>();
@@ -167,8 +183,7 @@
         backOff(address);
         dialer.connect(address).onComplete(socket -> {
             if (socket.failed()) {
-                result.completeExceptionally(new Link.LinkClosedException(
-                        "cannot connect: " + socket.cause().getMessage()));
+                result.completeExceptionally(new UnreachableException(socket.cause()));
                 return;
             }
             Link link = open(socket.result(), true, callsOnly);
@@ -234,7 +249,6 @@
         boolean keepNew = order < 0 || order == 0 && (stalled || lowerDialled && other.dialled != link.dialled);
         Link kept = keepNew ? link : other;
         Link dropped = keepNew ? other : link;
-        kept.firstGossip.whenComplete((v, e) -> dropped.firstGossip.complete(null));
         dropped.close("another link to the same peer is kept");
     }
 
--- a/core/src/main/java/org/verbenatally/peer/Peers.java
+++ b/core/src/main/java/org/verbenatally/peer/Peers.java
@@ -5,9 +5,11 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -64,6 +66,8 @@
      */
     private static final Duration DELAY_OF_MEMBER = Duration.ofMillis(4);
 
+    private static final CompletableFuture<Void> NOTHING_TO_TELL = CompletableFuture.completedFuture(null);
+
     private final PeerOptions options;
     private final Run self;
     private final TimerService timers;
@@ -80,6 +84,10 @@
     private final AtomicBoolean loadsPlanned = new AtomicBoolean();
     private final AtomicBoolean ownLoadsChanged = new AtomicBoolean();
     private volatile boolean asked;
+
+    /** Done for each peer that has told its configuration version, over any link; used until all are asked. */
+    private final Map<Address, CompletableFuture<Void>> told = new ConcurrentHashMap<>();
+
     private long nextRound;
 
     private Peers(
@@ -217,6 +225,7 @@
         }
         spreader.start();
         asked = true;
+        told.clear();
         platform.ifPresent(PlatformReader::start);
     }
 
@@ -227,7 +236,21 @@
 
     /** Completes when the peer at an address has told its configuration version or cannot be reached. */
     private CompletableFuture<Void> ask(Address address) {
-        return links.dial(address, false).thenCompose(link -> link.firstGossip).exceptionally(e -> null);
+        CompletableFuture<Void> answer = toldBy(address);
+        links.dial(address, false)
+                .thenCompose(link -> self.equals(link.peer()) ? NOTHING_TO_TELL : link.firstGossip)
+                .whenComplete((v, e) -> {
+                    // A peer that was reached may have closed the link because it keeps another one to this instance;
+                    // it tells its version there.
+                    if (e == null || Links.isUnreachable(e)) {
+                        answer.complete(null);
+                    }
+                });
+        return answer;
+    }
+
+    private CompletableFuture<Void> toldBy(Address address) {
+        return told.computeIfAbsent(address, a -> new CompletableFuture<>());
     }
 
     private static void await(CompletableFuture<Void> future, long nanos) {
@@ -361,6 +384,11 @@
             }
             spreader.onPeerVersion(link, gossip.getConfigVersion(), gossip.getConfigDigest());
             link.firstGossip.complete(null);
+            if (!asked) {
+                membership
+                        .current(link.peer().instance())
+                        .ifPresent(row -> toldBy(row.address()).complete(null));
+            }
         }
 
         @Override
--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -150,6 +150,26 @@
         }
     }
 
+    /**
+     * Guards against a restarted instance that applies an old copy of the platform because a peer, which had dialled
+     * it at the same moment, closed the link on which it was asked and told its version on the other one.
+     */
+    @Test
+    void startingInstanceWaitsForAPeerThatKeepsAnotherLink() throws Exception {
+        Address stale = platform();
+        served.put(stale, Fleet.document(3, "low"));
+        try (var peer = new ScriptedPeer(fleet.vertx, "a1", 7, Fleet.document(7, "high"))) {
+            var node = fleet.start("e2", List.of(peer.address()), Optional.of(stale), fleet.timers);
+            peer.onConnection(asked -> peer.dial(node.peers.address()).thenAccept(own -> {
+                asked.close();
+                // Well within the time that a starting instance waits for each peer.
+                fleet.timers.after(fleet.timings.startAsk().dividedBy(3), own::tellVersion);
+            }));
+            Fleet.await(() -> node.peers.notReadyReason().isEmpty());
+            assertThat(node.versions).containsExactly(7L);
+        }
+    }
+
     /** Guards against sides of a partition that stop, that revert, or that do not come together again. */
     @Test
     void partitionedSidesContinueAndMergeToTheHigherVersion() throws Exception {
--- a/core/src/test/java/org/verbenatally/peer/Fleet.java
+++ b/core/src/test/java/org/verbenatally/peer/Fleet.java
@@ -132,8 +132,11 @@
     }
 
     Node start(String id, Optional<Address> platform, TimerService timers) throws Exception {
-        List<Address> seeds =
-                nodes.values().stream().map(n -> n.peers.address()).limit(2).toList();
+        return start(
+                id, nodes.values().stream().map(n -> n.peers.address()).limit(2).toList(), platform, timers);
+    }
+
+    Node start(String id, List<Address> seeds, Optional<Address> platform, TimerService timers) throws Exception {
         var node = new Node();
         var options = new PeerOptions(
                 new InstanceId(id),
