Ask the store less while it turns an instance away and peers tell its news

Change: ReadPace decides by the age of what is known: an instance whose list is fresh keeps its share of the fleet's rate, whether its own reads succeed or not; one that nobody tells anything tries each two seconds as before. Servers go without the handlers for extensions of web sockets, which look at each message.

Test: ReadPaceTest.instancesThatAreTurnedAwayKeepTheirShareWhileOthersAreServed.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -162,6 +162,11 @@
         return config.deployment().map(d -> d.version().value()).orElse(0L);
     }
 
+    /** Returns whether a configuration is in force. */
+    public boolean hasConfig() {
+        return config.deployment().isPresent();
+    }
+
     /** Returns the targets. */
     public TargetDirectory directory() {
         return directory;
@@ -177,7 +182,7 @@
         if (shutdown.isStopping()) {
             return Optional.of("stopping");
         }
-        if (config.deployment().isEmpty()) {
+        if (!hasConfig()) {
             return Optional.of("no configuration is in force");
         }
         return directory.isKnown() ? Optional.empty() : Optional.of("no targets are known");
@@ -198,7 +203,10 @@
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setIdleTimeout(IDLE_SECONDS)
                             .setHandle100ContinueAutomatically(true)
-                            .setTcpNoDelay(true))
+                            .setTcpNoDelay(true)
+                            // Without the handlers that look at each message for extensions of web sockets.
+                            .setPerFrameWebSocketCompressionSupported(false)
+                            .setPerMessageWebSocketCompressionSupported(false))
                     .requestHandler(request -> {
                         request.pause();
                         handler.handle(request);
--- a/forward/src/main/java/org/verbenatally/forward/ReadPace.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReadPace.java
@@ -47,14 +47,15 @@
     }
 
     /**
-     * Returns the longest pause before the next read of the list.
+     * Returns the longest pause before the next read, or the next try to read. An instance that the source turns away
+     * does not insist while others tell it what they read.
      *
      * @param members live instances, this one included
-     * @param reached whether the last read succeeded
+     * @param age age of the list that is known, by own reads or by those of others; empty if none is
      */
-    public Duration pause(int members, boolean reached) {
-        Duration pause =
-                clamp(share(members, FLEET_READS_PER_SECOND), SHORTEST_PAUSE, reached ? LONGEST_PAUSE : LONGEST_RETRY);
+    public Duration pause(int members, Optional<Duration> age) {
+        Duration longest = untilStale(age).isZero() ? LONGEST_RETRY : LONGEST_PAUSE;
+        Duration pause = clamp(share(members, FLEET_READS_PER_SECOND), SHORTEST_PAUSE, longest);
         double part = 1 - SPREAD * ThreadLocalRandom.current().nextDouble();
         return Duration.ofNanos((long) (pause.toNanos() * part));
     }
--- a/forward/src/test/java/org/verbenatally/forward/ReadPaceTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ReadPaceTest.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -10,6 +11,7 @@
 
 class ReadPaceTest {
     private static final Duration STALE = Duration.ofSeconds(1);
+    private static final Optional<Duration> FRESH = Optional.of(Duration.ofMillis(200));
     private final ReadPace pace = new ReadPace(STALE);
 
     /** Pattern: a fleet that grows. Guards against reads that grow with it, and against departures noticed late. */
@@ -18,7 +20,7 @@
     void fleetReadsAtAConstantRate(int members) {
         double reads = 0;
         for (int i = 0; i < members; i++) {
-            reads += 1e9 / pace.pause(members, true).toNanos();
+            reads += 1e9 / pace.pause(members, FRESH).toNanos();
         }
         assertThat(reads).isBetween(8.0, 12.0);
         assertThat(members * 1e9 / pace.watch(members).toNanos()).isLessThanOrEqualTo(11);
@@ -32,6 +34,21 @@
         assertThat(pace.untilStale(Optional.empty())).isZero();
         assertThat(pace.untilStale(Optional.of(STALE.plusMillis(1)))).isZero();
         assertThat(pace.untilStale(Optional.of(Duration.ofMillis(400)))).isEqualTo(Duration.ofMillis(600));
-        assertThat(pace.pause(members, false)).isLessThanOrEqualTo(Duration.ofSeconds(2));
+        assertThat(pace.pause(members, Optional.empty())).isLessThanOrEqualTo(Duration.ofSeconds(2));
+    }
+
+    /**
+     * Pattern: the source turns a third of the fleet away and serves the others. Guards against instances that go on
+     * asking for what their peers tell them.
+     */
+    @Test
+    void instancesThatAreTurnedAwayKeepTheirShareWhileOthersAreServed() {
+        double tries = 0;
+        for (int i = 0; i < 32; i++) {
+            tries += 1e9 / pace.pause(95, FRESH).toNanos();
+        }
+        assertThat(tries).isLessThan(4);
+        Optional<Duration> old = Optional.of(STALE.plusMillis(1));
+        assertThat(pace.pause(95, old)).isLessThanOrEqualTo(Duration.ofSeconds(2));
     }
 }
