Tell the fleet of failures at targets

An instance among 95 sends a server a call in seconds and its memory of a failure halves in four, so each had to find a failing server by itself, again and again.

Change: an instance states with its load how many requests a target failed lately and of how many answers, as long as there is a failure that counts; all instances know the sum, and choose by the share of failures in it. A change of the number of answers alone is not passed on. Counts that cannot be are refused with the frame.

Tests: TargetChooserTest.failuresThatOthersHaveSeenCount fails with the peers' part left out, ownFailuresAreStatedUntilTheyFade; LoadTableTest.refusesAbsurdOutcomes, failuresAreNewsAndAnswersAloneAreNot.

--- a/core/src/main/java/org/verbenatally/peer/LoadTable.java
+++ b/core/src/main/java/org/verbenatally/peer/LoadTable.java
@@ -96,7 +96,10 @@
     }
 
     private static boolean isEmpty(TargetLoad load) {
-        return load.getRequests() == 0 && load.getTokens() == 0 && load.getUnreadTokens() == 0;
+        return load.getRequests() == 0
+                && load.getTokens() == 0
+                && load.getUnreadTokens() == 0
+                && load.getFailures() == 0;
     }
 
     /** States what this instance has in flight, which replaces what it stated before. */
@@ -112,7 +115,8 @@
             boolean same = before != null
                     && before.getRequests() == load.getRequests()
                     && Math.abs(before.getTokens() - load.getTokens()) < LEAST_TOKENS_CHANGE
-                    && before.getUnreadTokens() == load.getUnreadTokens();
+                    && before.getUnreadTokens() == load.getUnreadTokens()
+                    && before.getFailures() == load.getFailures();
             if (!same) {
                 state(own, load);
             }
@@ -158,6 +162,10 @@
         if (load.getRequests() < 0 || load.getTokens() < 0 || load.getUnreadTokens() < 0 || load.getNumber() < 0) {
             throw new IllegalArgumentException("load of " + load.getTarget() + " must not be negative: " + load);
         }
+        if (load.getFailures() < 0 || load.getAnswers() < load.getFailures()) {
+            throw new IllegalArgumentException(
+                    "failures of " + load.getTarget() + " must be 0 to the number of answers: " + load);
+        }
         return load;
     }
 
--- a/core/src/test/java/org/verbenatally/peer/LoadTableTest.java
+++ b/core/src/test/java/org/verbenatally/peer/LoadTableTest.java
@@ -146,4 +146,26 @@
         assertThat(heard).isEmpty();
         assertThat(here.changes(0, 2, ALL).values()).isEmpty();
     }
+
+    @ParameterizedTest
+    @CsvSource({"-1, 0", "3, 2", "1, -1"})
+    void refusesAbsurdOutcomes(int failures, int answers) {
+        var load = new TargetLoad("a", 0, 0).setFailures(failures).setAnswers(answers);
+        var bad = new InstanceLoads("bad", 1, List.of(load));
+        assertThatIllegalArgumentException().isThrownBy(() -> here.receive(List.of(bad), LINK, this::hear));
+    }
+
+    /** Guards against frames for each answer of a failing target, and against failures that are never over. */
+    @Test
+    void failuresAreNewsAndAnswersAloneAreNot() {
+        here.state(List.of(new TargetLoad("a", 0, 0).setFailures(1).setAnswers(3)));
+        long serial = here.changes(0, LINK, ALL).serial();
+        here.state(List.of(new TargetLoad("a", 0, 0).setFailures(1).setAnswers(5)));
+        assertThat(here.changes(serial, LINK, ALL).values()).isEmpty();
+        here.state(List.of());
+        assertThat(here.changes(serial, LINK, ALL).values())
+                .singleElement()
+                .satisfies(
+                        s -> assertThat(s.getLoads().getFirst().getFailures()).isZero());
+    }
 }
--- /dev/null
+++ b/forward/src/main/java/org/verbenatally/forward/RecentOutcomes.java
@@ -0,0 +1,47 @@
+package org.verbenatally.forward;
+
+import java.util.concurrent.TimeUnit;
+
+/** How many requests a target answered lately, and how many of them it failed; older ones count less and less. */
+final class RecentOutcomes {
+    /** The counts halve in this time, so that a target that recovered is tried again. */
+    private static final double HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
+
+    private double failures;
+    private double answers;
+    private long asOf;
+
+    /** Counts an answer. */
+    synchronized void add(boolean failure, long now) {
+        age(now);
+        answers++;
+        if (failure) {
+            failures++;
+        }
+    }
+
+    private void age(long now) {
+        double factor = Math.pow(0.5, (now - asOf) / HALF_LIFE_NANOS);
+        failures *= factor;
+        answers *= factor;
+        asOf = now;
+    }
+
+    /** Forgets all, since the target has started anew. */
+    synchronized void reset() {
+        failures = 0;
+        answers = 0;
+    }
+
+    /** Returns the failures that still count, rounded. */
+    synchronized int failures(long now) {
+        age(now);
+        return (int) Math.round(failures);
+    }
+
+    /** Returns the answers that still count, rounded; never fewer than the failures. */
+    synchronized int answers(long now) {
+        age(now);
+        return (int) Math.round(answers);
+    }
+}
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -253,13 +253,22 @@
         return row.isLeaving();
     }
 
-    /** Returns what this instance has at each target, for peers. */
+    /** Returns what this instance has at each target and what it has seen fail there, for peers. */
     synchronized List<TargetLoad> ownLoads() {
-        return rows.values().stream()
-                .filter(row -> row.ownRequests() > 0 || row.ownTokens() > 0)
-                .map(row -> new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens())
-                        .setUnreadTokens(row.unreadTokens()))
-                .toList();
+        long now = timer.nanos();
+        List<TargetLoad> loads = new ArrayList<>();
+        for (TargetRow row : rows.values()) {
+            int failures = row.outcomes().failures(now);
+            if (row.ownRequests() > 0 || row.ownTokens() > 0 || failures > 0) {
+                var load = new TargetLoad(row.target().id().value(), row.ownRequests(), row.ownTokens());
+                load.setUnreadTokens(row.unreadTokens());
+                if (failures > 0) {
+                    load.setFailures(failures).setAnswers(row.outcomes().answers(now));
+                }
+                loads.add(load);
+            }
+        }
+        return loads;
     }
 
     /** Takes what another instance has at each target, which replaces what it said before. */
@@ -268,7 +277,12 @@
             Map<TargetId, TargetRow.PeerLoad> next = new HashMap<>();
             loads.forEach(load -> next.put(
                     new TargetId(load.getTarget()),
-                    new TargetRow.PeerLoad(load.getRequests(), load.getTokens(), load.getUnreadTokens())));
+                    new TargetRow.PeerLoad(
+                            load.getRequests(),
+                            load.getTokens(),
+                            load.getUnreadTokens(),
+                            load.getFailures(),
+                            load.getAnswers())));
             Map<TargetId, TargetRow.PeerLoad> before = Objects.requireNonNullElse(
                     next.isEmpty() ? peerLoads.remove(peer) : peerLoads.put(peer, next), Map.of());
             before.keySet().stream()
--- a/forward/src/main/java/org/verbenatally/forward/TargetRow.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetRow.java
@@ -7,7 +7,6 @@
 import java.util.Objects;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.TimeUnit;
 
 import org.verbenatally.core.InstanceId;
 
@@ -17,10 +16,8 @@
     private static final Duration FIRST_SUSPENSION = Duration.ofMillis(500);
 
     private static final Duration LONGEST_SUSPENSION = Duration.ofSeconds(4);
-    /** Weight of the newest outcome in the failure share; about ten outcomes decide it. */
-    private static final double OUTCOME_WEIGHT = 0.1;
-    /** The failure share halves in this time without outcomes, so that a target that recovered is tried again. */
-    private static final double FAILURE_HALF_LIFE_NANOS = TimeUnit.SECONDS.toNanos(4);
+    /** Good answers that are taken for granted, so that a single failure does not condemn a target. */
+    private static final int PRIOR_ANSWERS = 9;
 
     private volatile ForwardTarget target;
     private volatile boolean withdrawn;
@@ -34,8 +31,7 @@
     private boolean suspended;
     private boolean inDoubt;
     private Duration suspension = FIRST_SUSPENSION;
-    private double failureShare;
-    private long failureNanos;
+    private final RecentOutcomes outcomes = new RecentOutcomes();
 
     /**
      * What a peer has at a target.
@@ -43,15 +39,19 @@
      * @param requests requests on their way
      * @param tokens memory that they are expected to need, in tokens
      * @param unreadTokens prompt tokens among them that the target has probably not read yet
+     * @param failures requests that the target failed lately
+     * @param answers requests that it answered in the same time, the failed ones included; 0 if it failed none
      */
-    record PeerLoad(int requests, long tokens, long unreadTokens) {
-        static final PeerLoad NONE = new PeerLoad(0, 0, 0);
+    record PeerLoad(int requests, long tokens, long unreadTokens, int failures, int answers) {
+        static final PeerLoad NONE = new PeerLoad(0, 0, 0, 0, 0);
 
         private PeerLoad plus(PeerLoad other, int sign) {
             return new PeerLoad(
                     requests + sign * other.requests,
                     tokens + sign * other.tokens,
-                    unreadTokens + sign * other.unreadTokens);
+                    unreadTokens + sign * other.unreadTokens,
+                    failures + sign * other.failures,
+                    answers + sign * other.answers);
         }
     }
 
@@ -171,16 +171,20 @@
         }
     }
 
-    /** An answer arrived whole. */
-    synchronized void answered(boolean failure, long now) {
-        if (!failure) {
-            inDoubt = false;
-            suspended = false;
-            suspension = FIRST_SUSPENSION;
+    /** An answer arrived whole, or was lost; the other instances are told of failures. */
+    void answered(boolean failure, long now) {
+        outcomes.add(failure, now);
+        if (failure) {
+            onLoad.run();
+        } else {
+            listensAndServes();
         }
-        double share = failureShare(now);
-        failureShare = share + OUTCOME_WEIGHT * ((failure ? 1 : 0) - share);
-        failureNanos = now;
+    }
+
+    private synchronized void listensAndServes() {
+        inDoubt = false;
+        suspended = false;
+        suspension = FIRST_SUSPENSION;
     }
 
     /**
@@ -198,16 +202,22 @@
         inDoubt = false;
     }
 
-    private synchronized void recovered() {
-        inDoubt = false;
-        suspended = false;
-        suspension = FIRST_SUSPENSION;
-        failureShare = 0;
+    private void recovered() {
+        listensAndServes();
+        outcomes.reset();
+    }
+
+    /** Returns what this instance has seen of its answers lately. */
+    RecentOutcomes outcomes() {
+        return outcomes;
     }
 
-    /** Returns the share of recent requests that it failed, 0 to 1. */
-    synchronized double failureShare(long now) {
-        return failureShare == 0 ? 0 : failureShare * Math.pow(0.5, (now - failureNanos) / FAILURE_HALF_LIFE_NANOS);
+    /** Returns the share of recent requests that it failed, 0 to 1, as all instances have seen. */
+    double failureShare(long now) {
+        PeerLoad others = peerSum;
+        int failures = outcomes.failures(now) + others.failures();
+        int answers = outcomes.answers(now) + others.answers();
+        return (double) failures / (answers + PRIOR_ANSWERS);
     }
 
     synchronized boolean isSuspended(long now) {
--- a/forward/src/test/java/org/verbenatally/forward/TargetChooserTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetChooserTest.java
@@ -11,8 +11,10 @@
 import java.util.Set;
 
 import org.junit.jupiter.api.Test;
+import org.verbenatally.core.InstanceId;
 import org.verbenatally.policy.Fingerprint;
 import org.verbenatally.time.ManualTimer;
+import org.verbenatally.wire.TargetLoad;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.Targets.HERE;
@@ -139,4 +141,46 @@
         }
         assertThat(later).containsAll(Arrays.asList("good", "bad", "fair"));
     }
+
+    /**
+     * Pattern: one of five servers fails half of its calls, in a fleet in which each instance sends it a call in some
+     * seconds. Guards against each instance finding that out by itself.
+     */
+    @Test
+    void failuresThatOthersHaveSeenCount() {
+        publish(
+                Targets.ready("good-1"),
+                Targets.ready("good-2"),
+                Targets.ready("good-3"),
+                Targets.ready("good-4"),
+                Targets.ready("failing"));
+        for (int i = 0; i < 20; i++) {
+            var seen = new TargetLoad("failing", 0, 0).setFailures(1).setAnswers(2);
+            directory.peerLoads(new InstanceId("peer-" + i), List.of(seen));
+        }
+        for (int i = 0; i < 50; i++) {
+            TargetRow row = chooser.service(SERVICE, Set.of()).orElseThrow();
+            assertThat(row.target().id().value()).startsWith("good");
+        }
+        for (int i = 0; i < 20; i++) {
+            directory.peerLoads(new InstanceId("peer-" + i), List.of());
+        }
+        assertThat(row("failing").failureShare(timer.nanos())).isZero();
+    }
+
+    /** Guards against a target that is avoided for ever, and against failures that the others are not told of. */
+    @Test
+    void ownFailuresAreStatedUntilTheyFade() {
+        publish(Targets.ready("a"));
+        row("a").answered(true, timer.nanos());
+        row("a").answered(false, timer.nanos());
+        assertThat(directory.ownLoads()).singleElement().satisfies(load -> {
+            assertThat(load.getFailures()).isEqualTo(1);
+            assertThat(load.getAnswers()).isEqualTo(2);
+        });
+        assertThat(row("a").failureShare(timer.nanos())).isBetween(0.05, 0.2);
+        timer.advance(Duration.ofSeconds(20));
+        assertThat(directory.ownLoads()).isEmpty();
+        assertThat(row("a").failureShare(timer.nanos())).isZero();
+    }
 }
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -57,7 +57,11 @@
   /** Prompt tokens among them that the target has probably not read yet; absent: none. */
   4: optional i64 unreadTokens,
   /** Grows with each statement of the run; of two statements about one target the higher one counts. */
-  5: optional i64 number
+  5: optional i64 number,
+  /** Requests that the target failed in the last seconds, as the run has seen; absent: none. */
+  6: optional i32 failures,
+  /** Requests that the target answered in the same time, the failed ones included; set if failures is. */
+  7: optional i32 answers
 }
 
 /** Loads that one run of an instance states; all instances pass them on. */
