--- a/forward/src/main/java/org/verbenatally/forward/ReadPace.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReadPace.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.DoubleSupplier;
 
 /**
  * Decides how often one instance reads the source of targets and configuration. The instances pass on what they read,
@@ -28,6 +29,7 @@
     private static final int FLEET_WATCHES_PER_SECOND = 2;
 
     private final Duration staleAfter;
+    private final DoubleSupplier random;
 
     /**
      * Creates a pace.
@@ -35,7 +37,12 @@
      * @param staleAfter age of the list beyond which an instance reads it itself
      */
     public ReadPace(Duration staleAfter) {
+        this(staleAfter, () -> ThreadLocalRandom.current().nextDouble());
+    }
+
+    ReadPace(Duration staleAfter, DoubleSupplier random) {
         this.staleAfter = Objects.requireNonNull(staleAfter, "staleAfter");
+        this.random = Objects.requireNonNull(random, "random");
     }
 
     private static Duration share(int members, int perSecond) {
@@ -56,7 +63,7 @@
     public Duration pause(int members, Optional<Duration> age) {
         Duration longest = untilStale(age).isZero() ? LONGEST_RETRY : LONGEST_PAUSE;
         Duration pause = clamp(share(members, FLEET_READS_PER_SECOND), SHORTEST_PAUSE, longest);
-        double part = 1 - SPREAD * ThreadLocalRandom.current().nextDouble();
+        double part = 1 - SPREAD * random.getAsDouble();
         return Duration.ofNanos((long) (pause.toNanos() * part));
     }
 
@@ -71,7 +78,7 @@
 
     /** Returns the shortest pause between two reads that follow from an old list. */
     public Duration leastPause() {
-        double part = 1 - SPREAD * ThreadLocalRandom.current().nextDouble();
+        double part = 1 - SPREAD * random.getAsDouble();
         return Duration.ofNanos((long) (SHORTEST_PAUSE.toNanos() * part));
     }
 
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ReadTurnsTest.java
@@ -0,0 +1,120 @@
+package org.verbenatally.forward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.verbenatally.time.ManualTimer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class ReadTurnsTest {
+    private static final Duration STALE = Duration.ofMillis(2_400);
+    private static final Duration STEP = Duration.ofMillis(50);
+    private static final int STEPS_OF_SECOND = 20;
+    private static final int SECONDS = 60;
+    private static final int NEIGHBOURS_DIALLED = 3;
+
+    private final ManualTimer timer = new ManualTimer();
+
+    /** An instance that tells its neighbours each second how old the newest read is that it knows of. */
+    private final class Instance {
+        private final ReadTurns turns;
+        private final Set<Instance> neighbours = new LinkedHashSet<>();
+        private Optional<Long> known = Optional.empty();
+        private long restUntil;
+
+        Instance(Random random) {
+            turns = new ReadTurns(timer, new ReadPace(STALE, random::nextDouble));
+        }
+
+        Optional<Duration> age() {
+            return known.map(at -> Duration.ofNanos(timer.nanos() - at));
+        }
+
+        void hear(Optional<Long> other) {
+            if (other.isPresent() && (known.isEmpty() || other.get() > known.get())) {
+                known = other;
+            }
+        }
+
+        /** Reads if it is time to; returns whether it has. */
+        boolean step(int members, boolean up) {
+            if (timer.nanos() < restUntil) {
+                return false;
+            }
+            Duration rest = turns.rest(age());
+            boolean read = rest.isZero();
+            if (read) {
+                hear(up ? Optional.of(timer.nanos()) : Optional.empty());
+                turns.tried(members, age());
+                rest = turns.rest(age());
+            }
+            restUntil = timer.nanos() + rest.toNanos();
+            return read;
+        }
+    }
+
+    private List<Instance> fleet(int members, Random random) {
+        List<Instance> fleet = new ArrayList<>();
+        for (int i = 0; i < members; i++) {
+            fleet.add(new Instance(random));
+        }
+        for (Instance instance : fleet) {
+            for (int i = 0; i < NEIGHBOURS_DIALLED; i++) {
+                Instance other = fleet.get(random.nextInt(members));
+                instance.neighbours.add(other);
+                other.neighbours.add(instance);
+            }
+        }
+        return fleet;
+    }
+
+    /**
+     * Pattern: a large fleet that was started at one moment, whose news takes seconds to reach all. Guards against
+     * instances that find the list too old together, read it together, and so keep step for ever.
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void fleetThatStartedTogetherDoesNotReadInStep(long seed) {
+        Random random = new Random(seed);
+        List<Instance> fleet = fleet(95, random);
+        int reads = 0;
+        for (int step = 0; step < SECONDS * STEPS_OF_SECOND; step++) {
+            for (int i = 0; i < fleet.size(); i++) {
+                Instance instance = fleet.get(i);
+                boolean read = instance.step(fleet.size(), true);
+                if (read && step > 10 * STEPS_OF_SECOND) {
+                    reads++;
+                }
+                if (step % STEPS_OF_SECOND == i % STEPS_OF_SECOND) {
+                    instance.neighbours.forEach(n -> n.hear(instance.known));
+                }
+                assertThat(instance.age())
+                        .hasValueSatisfying(age -> assertThat(age).isLessThanOrEqualTo(STALE.plusSeconds(1)));
+            }
+            timer.advance(STEP);
+        }
+        // About nine of them come at turns, and reads out of turn must be fewer than these.
+        assertThat(reads / (SECONDS - 10)).as("reads a second").isBetween(8, 18);
+    }
+
+    /** Pattern: the source is down for all. Guards against an instance that asks each second, and one that gives up. */
+    @Test
+    void sourceThatIsDownIsTriedEachTwoSeconds() {
+        Instance lone = new Instance(new Random(1));
+        int tries = 0;
+        for (int step = 0; step < SECONDS * STEPS_OF_SECOND; step++) {
+            tries += lone.step(95, false) ? 1 : 0;
+            timer.advance(STEP);
+        }
+        assertThat(tries).isBetween(SECONDS / 2, SECONDS);
+    }
+}
