End answers that have no end, and streams that make no whole event

(1) A stalled engine that sent a byte now and then kept its generation, though a standing copy existed: each byte counted as a sign of life. (3) An event without end was reported as an internal error, after a megabyte whose beginning was searched again for each piece. Heads, frames and bodies without end were tried as well, at calls and at streams; these ended by their bounds already.

--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -33,6 +33,9 @@
     /** Time that an attempt needs at least to be of use. */
     private static final Duration LEAST_TIME = Duration.ofMillis(5);
 
+    /** An answer that goes on for this long after its caller's time has no end. */
+    private static final Duration LATEST_PIECE = Duration.ofSeconds(1);
+
     private static final Duration RETRY_AFTER = Duration.ofMillis(100);
 
     private final ForwardParts parts;
@@ -174,8 +177,10 @@
 
     /** Returns the next piece of an answer, or empty at its end. */
     private Optional<Buffer> next(Attempt attempt, AnswerFeed feed) {
-        AnswerFeed.Item item = feed.next(r.left(parts.timer().nanos()));
-        if (item instanceof AnswerFeed.Piece piece) {
+        Duration left = r.left(parts.timer().nanos());
+        AnswerFeed.Item item = feed.next(left);
+        // A body without end always has a next piece; an end that waits already is delivered, also late.
+        if (item instanceof AnswerFeed.Piece piece && left.compareTo(LATEST_PIECE.negated()) > 0) {
             return Optional.of(piece.bytes());
         }
         if (item instanceof AnswerFeed.End && !parts.client().isDoubtful(attempt.response())) {
--- a/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
+++ b/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
@@ -13,8 +13,20 @@
     /** Longest event; a longer one is not an event stream's. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /** The end of a line and an empty one: LF CR LF. */
+    private static final int LONGEST_EMPTY_LINE = 3;
+
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
+    /** What a target sends is no stream of events. */
+    static final class EndlessEventException extends Exception {
+        private static final long serialVersionUID = 1;
+
+        EndlessEventException() {
+            super("event is longer than " + MAX_EVENT_BYTES + " bytes");
+        }
+    }
+
     private Buffer rest = Buffer.buffer();
     private String lastId;
     private long count;
@@ -22,13 +34,15 @@
     /**
      * Takes the next bytes and returns the events that are whole now, empty if none is.
      *
-     * @throws IllegalArgumentException if an event is too long
+     * @throws EndlessEventException if an event is too long
      */
-    Buffer take(Buffer part) {
+    Buffer take(Buffer part) throws EndlessEventException {
+        // An empty line may have begun in what was left.
+        int seen = Math.max(0, rest.length() - LONGEST_EMPTY_LINE);
         Buffer all = rest.length() == 0 ? part : rest.appendBuffer(part);
-        int end = endOfLastEvent(all);
+        int end = endOfLastEvent(all, seen);
         if (all.length() - end > MAX_EVENT_BYTES) {
-            throw new IllegalArgumentException("event is longer than " + MAX_EVENT_BYTES + " bytes");
+            throw new EndlessEventException();
         }
         rest = end == all.length() ? Buffer.buffer() : Buffer.buffer(all.getBytes(end, all.length()));
         Buffer whole = all.slice(0, end);
@@ -37,8 +51,8 @@
     }
 
     /** An event ends with an empty line; lines end with LF or CRLF. */
-    private static int endOfLastEvent(Buffer all) {
-        for (int i = all.length() - 1; i > 0; i--) {
+    private static int endOfLastEvent(Buffer all, int from) {
+        for (int i = all.length() - 1; i > from; i--) {
             if (all.getByte(i) == '\n') {
                 byte before = all.getByte(i - 1);
                 boolean empty = before == '\n' || before == '\r' && i > 1 && all.getByte(i - 2) == '\n';
--- a/forward/src/main/java/org/verbenatally/forward/StreamMover.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMover.java
@@ -153,8 +153,11 @@
     private Buffer body(HttpClientRequest request, HttpClientResponse response) {
         Buffer body = Buffer.buffer();
         AnswerFeed feed = new AnswerFeed(response);
+        long until = parts.timer().nanos() + COPY_TIMEOUT.toNanos();
         while (true) {
-            AnswerFeed.Item item = feed.next(COPY_TIMEOUT);
+            // One bound for the whole answer: a byte now and then must not hold the generation here.
+            AnswerFeed.Item item =
+                    feed.next(Duration.ofNanos(until - parts.timer().nanos()));
             if (item instanceof AnswerFeed.Piece piece && body.length() < MAX_ANSWER_BYTES) {
                 body.appendBuffer(piece.bytes());
             } else if (item instanceof AnswerFeed.End) {
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -45,6 +45,9 @@
     private long piecesPassed;
     private long firstPieceNanos;
     private long lastPieceNanos;
+    /** When the engine began, or sent its last whole event. */
+    private long progressNanos;
+
     private long longestGapNanos;
     private StreamLeg leg;
 
@@ -146,7 +149,7 @@
                 flight.end();
                 return Optional.of(fail("answer belongs to another request"));
             }
-            leg = new StreamLeg(flight, attempt);
+            goOn(new StreamLeg(flight, attempt));
         } catch (StepException e) {
             Attempt.logFailure(r, row, e);
             flight.end();
@@ -161,7 +164,7 @@
             if (next.isEmpty()) {
                 return Optional.of(fail("engine lost"));
             }
-            leg = next.get();
+            goOn(next.get());
         }
         caller.begin(leg.attempt().response());
         return Optional.of(deliver());
@@ -198,7 +201,7 @@
                 case LEAVING ->
                     continuation.leave(leg).ifPresent(next -> {
                         leg.close(false);
-                        leg = next;
+                        goOn(next);
                     });
                 case BROKEN -> {
                     leg.row().unreachable(parts.timer().nanos());
@@ -209,16 +212,22 @@
                     if (next.isEmpty()) {
                         return fail("engine lost");
                     }
-                    leg = next.get();
+                    goOn(next.get());
                 }
                 default -> throw new IllegalStateException("unexpected end " + end);
             }
         }
     }
 
+    /** Goes on with the answer of another engine. */
+    private void goOn(StreamLeg next) {
+        leg = next;
+        progressNanos = parts.timer().nanos();
+    }
+
     private End relay() {
         Duration gap = r.route().gapTarget().orElse(DEFAULT_GAP);
-        Duration silence = gap.multipliedBy(SILENT_GAPS);
+        long silence = gap.multipliedBy(SILENT_GAPS).toNanos();
         while (true) {
             if (caller.isGone()) {
                 return End.CALLER_LEFT;
@@ -231,9 +240,18 @@
                 return End.DEADLINE;
             }
             boolean watched = piecesPassed > 0 && continuation.hasStandingCopy(leg.flight());
-            AnswerFeed.Item item = leg.feed().next(watched && silence.compareTo(left) < 0 ? silence : left);
+            Duration quiet =
+                    Duration.ofNanos(Math.max(0, silence - (parts.timer().nanos() - progressNanos)));
+            AnswerFeed.Item item = leg.feed().next(watched && quiet.compareTo(left) < 0 ? quiet : left);
             switch (item) {
-                case AnswerFeed.Piece piece -> pass(piece.bytes());
+                case AnswerFeed.Piece piece -> {
+                    try {
+                        pass(piece.bytes());
+                    } catch (EventSplitter.EndlessEventException e) {
+                        logBreak(e.getMessage());
+                        return End.BROKEN;
+                    }
+                }
                 case AnswerFeed.End e -> {
                     if (!events.hasRest()
                             && !parts.client().isDoubtful(leg.attempt().response())) {
@@ -249,14 +267,14 @@
                     logBreak(b.reason());
                     return End.BROKEN;
                 }
-                case AnswerFeed.Silent s -> {
-                    if (watched) {
-                        logBreak("silent");
-                        return End.BROKEN;
-                    }
-                }
+                case AnswerFeed.Silent s -> LOG.debugf("stream: %s is silent", r.id());
                 case AnswerFeed.Signal s -> LOG.debugf("stream: %s was signalled", r.id());
             }
+            // Bytes that make no whole event do not show that the engine is at work.
+            if (watched && parts.timer().nanos() - progressNanos >= silence) {
+                logBreak("silent");
+                return End.BROKEN;
+            }
         }
     }
 
@@ -269,7 +287,7 @@
                 .info(LOG);
     }
 
-    private void pass(Buffer bytes) {
+    private void pass(Buffer bytes) throws EventSplitter.EndlessEventException {
         Buffer whole = events.take(bytes);
         if (whole.length() > 0) {
             long now = parts.timer().nanos();
@@ -280,6 +298,8 @@
             leg.flight()
                     .made(events.count() * r.service().engine().orElseThrow().tokensPerEvent());
             caller.write(whole);
+            // Time that a slow caller took is not the engine's.
+            progressNanos = parts.timer().nanos();
         }
     }
 
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/EndlessAnswerTest.java
@@ -0,0 +1,195 @@
+package org.verbenatally.forward;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
+import static org.verbenatally.forward.ForwardFixture.ENGINES;
+
+/** Targets whose bytes do not end until their client closes the connection. */
+class EndlessAnswerTest {
+    /** Far beyond the patience of the callers, which is 3 s; only a failed test waits this long. */
+    private static final long BOUND_SECONDS = 20;
+
+    /** What is read of a head, or of an event, is bounded; the rest of this may wait in sockets. */
+    private static final long MOST_BYTES_OF_A_HEAD = 32L << 20;
+
+    private static final int OK = 200;
+    private static final Duration TRICKLE = Duration.ofMillis(100);
+
+    private final CountDownLatch closed = new CountDownLatch(1);
+    private final AtomicLong written = new AtomicLong();
+    private ForwardFixture fixture;
+    private RawTarget target;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardFixture();
+        fixture.configure(1);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fixture.close();
+        target.close();
+    }
+
+    /** Returns how an answer of each kind begins; what follows is repeated. */
+    private static String beginning(String kind, String id) {
+        String head = "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\n";
+        return switch (kind) {
+            case "status line" -> "HTTP/1.1 200 ";
+            case "header line" -> head + "Long: ";
+            case "headers" -> head;
+            case "interim answers" -> "";
+            case "chunk size", "chunk extension" -> head + "Transfer-Encoding: chunked\r\n\r\n";
+            case "trailers" -> head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n";
+            default -> head + "\r\n";
+        };
+    }
+
+    private static String repeated(String kind) {
+        return switch (kind) {
+            case "headers", "trailers" -> "A: b\r\n".repeat(200);
+            case "interim answers" -> "HTTP/1.1 102 Processing\r\n\r\n".repeat(50);
+            case "chunk size" -> "0".repeat(1_000);
+            case "chunk extension" -> "1;x=" + "y".repeat(1_000);
+            case "events" -> "id: 1\ndata: x\n\n".repeat(60);
+            case "comments" -> ":\n\n".repeat(300);
+            default -> "x".repeat(1_000);
+        };
+    }
+
+    private void publish(String kind, boolean slowly) throws IOException {
+        target = new RawTarget((head, out, socket) -> {
+            if (RawTarget.header(head, TestCodec.ID).equals("next")) {
+                RawTarget.write(
+                        out, "HTTP/1.1 200 OK\r\nTest-Id: next\r\nTest-Signed: yes\r\nContent-Length: 4\r\n\r\nnext");
+                return true;
+            }
+            RawTarget.write(out, beginning(kind, RawTarget.header(head, TestCodec.ID)));
+            writeOn(out, socket, repeated(kind), slowly);
+            return false;
+        });
+        fixture.publish("a", CALLS, target);
+        fixture.publish("b", ENGINES, target);
+    }
+
+    private void writeOn(OutputStream out, Socket socket, String bytes, boolean slowly) throws InterruptedException {
+        try {
+            while (!socket.isClosed()) {
+                RawTarget.write(out, slowly ? bytes.substring(0, 1) : bytes);
+                written.addAndGet(bytes.length());
+                if (slowly) {
+                    TimeUnit.NANOSECONDS.sleep(TRICKLE.toNanos());
+                }
+            }
+        } catch (IOException e) {
+            // The instance has closed the connection.
+            closed.countDown();
+        }
+    }
+
+    /** Sends a request and drops its answer; returns whether it looked like a whole success. */
+    private boolean isServed(String path) throws Exception {
+        try {
+            HttpResponse<InputStream> answer =
+                    fixture.open(fixture.request(path, "endless").build());
+            try (InputStream body = answer.body()) {
+                body.transferTo(OutputStream.nullOutputStream());
+            }
+            assertThat(answer.statusCode()).as("says whether it ran").isNotIn(429, 503, 408, 421);
+            return answer.statusCode() == OK;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void expectEndedAndNextServed(String path) throws Exception {
+        assertThat(isServed(path)).as("looked whole").isFalse();
+        assertThat(closed.await(BOUND_SECONDS, TimeUnit.SECONDS))
+                .as("connection closed")
+                .isTrue();
+        HttpResponse<String> next =
+                fixture.send(fixture.request("/once/x", "next").build());
+        assertThat(next.body()).isEqualTo("next");
+    }
+
+    /** Guards against memory that a head or the frame of a body takes without end, and against waits without end. */
+    @ParameterizedTest
+    @CsvSource({
+        "status line, /once/x",
+        "header line, /once/x",
+        "headers, /once/x",
+        "interim answers, /once/x",
+        "chunk size, /once/x",
+        "chunk extension, /once/x",
+        "trailers, /once/x",
+        "status line, /stream/x",
+        "headers, /stream/x",
+        "interim answers, /stream/x",
+        "chunk size, /stream/x",
+        "event, /stream/x"
+    })
+    void endlessFrameEnds(String kind, String path) throws Exception {
+        publish(kind, false);
+        expectEndedAndNextServed(path);
+        if (!kind.equals("interim answers")) {
+            assertThat(written.get()).as("bytes read").isLessThan(MOST_BYTES_OF_A_HEAD);
+        }
+    }
+
+    /** Guards against a body without end that is passed on after the caller's time is over. */
+    @ParameterizedTest
+    @CsvSource({"body, /once/x", "body, /repeat/x", "events, /stream/x", "comments, /stream/x"})
+    void endlessBodyEndsWithTheTimeOfItsCaller(String kind, String path) throws Exception {
+        publish(kind, false);
+        expectEndedAndNextServed(path);
+    }
+
+    /** Guards against a byte now and then that keeps an exchange open. */
+    @ParameterizedTest
+    @CsvSource({
+        "status line, /once/x",
+        "headers, /once/x",
+        "body, /once/x",
+        "status line, /stream/x",
+        "body, /stream/x",
+        "comments, /stream/x"
+    })
+    void trickleEndsWithTheTimeOfItsCaller(String kind, String path) throws Exception {
+        publish(kind, true);
+        expectEndedAndNextServed(path);
+    }
+
+    /** Guards against answers that are slow but sound, and that are cut by the rules against the others. */
+    @Test
+    void slowAnswerIsServed() throws Exception {
+        target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, "HTTP/1.1 200 OK\r\nTest-Id: slow\r\nTest-Signed: yes\r\nContent-Length: 10\r\n\r\n");
+            for (int i = 0; i < 10; i++) {
+                TimeUnit.NANOSECONDS.sleep(TRICKLE.toNanos());
+                RawTarget.write(out, "x");
+            }
+            return true;
+        });
+        fixture.publish("a", CALLS, target);
+        HttpResponse<String> answer =
+                fixture.send(fixture.request("/once/x", "slow").build());
+        assertThat(answer.body()).isEqualTo("x".repeat(10));
+    }
+}
--- a/forward/src/test/java/org/verbenatally/forward/EventSplitterTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/EventSplitterTest.java
@@ -17,7 +17,8 @@
     void wholeEventsOnly(
             @ForAll @IntRange(min = 1, max = 20) int events,
             @ForAll @Size(max = 30) List<@IntRange(min = 1, max = 25) Integer> pieces,
-            @ForAll boolean crlf) {
+            @ForAll boolean crlf)
+            throws EventSplitter.EndlessEventException {
         String line = crlf ? "\r\n" : "\n";
         StringBuilder text = new StringBuilder();
         for (int i = 1; i <= events; i++) {
--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -284,6 +284,27 @@
         }
     }
 
+    /** Guards against an engine that is stalled and keeps its generation by a byte now and then. */
+    @Test
+    void generationContinuesWhenItsEngineSendsNoWholeEvent() throws Exception {
+        RawTarget.Script stalled = (head, out, socket) -> {
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(1, 4) + "id: 5\ndata: ");
+            while (!socket.isClosed()) {
+                Thread.sleep(50);
+                chunk(out, "x");
+            }
+            return false;
+        };
+        try (var engine = new RawTarget(stalled);
+                var holder = holder()) {
+            fixture.configure(1);
+            fixture.publish("stalled", ENGINES, engine);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            assertThat(generate("r1").join().body()).isEqualTo(events(1, 10));
+        }
+    }
+
     /** Guards against a generation that is cut off because its engine leaves. */
     @Test
     void generationMovesWhenItsEngineLeaves() throws Exception {
