Do not take the refusal of another request for that of a generation

Cause: of the faults that operators of similar systems met, a second copy of an answer on a connection in use again. A generation's answer was first looked at for the promise that it has not run, and only then for whose answer it is. A late copy of a refusal was taken for the own one: the request, which was at work, was sent to another engine or its caller was told that it had not run. Calls look at the id first.

Change: the id comes first for generations too.

Tests: LateCopyTest.refusalOfAnotherRequestDoesNotCount failed before for streams (503 for a request that ran); late copies at calls and streams on kept connections, before and after the next request, did not fail before.

--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -137,6 +137,12 @@
             sends++;
             Attempt attempt = sender.send(
                     flight, urgency, Optional.empty(), r.left(parts.timer().nanos()));
+            // A refusal of another request says nothing of this one, which may be at work.
+            if (attempt.head().isForeign(r.id())) {
+                attempt.drop();
+                flight.end();
+                return Optional.of(fail("answer belongs to another request"));
+            }
             if (attempt.head().notRun()) {
                 attempt.drop();
                 flight.end();
@@ -144,11 +150,6 @@
                 attempt.logNotRun(r);
                 return Optional.empty();
             }
-            if (attempt.head().isForeign(r.id())) {
-                attempt.drop();
-                flight.end();
-                return Optional.of(fail("answer belongs to another request"));
-            }
             goOn(new StreamLeg(flight, attempt));
         } catch (StepException e) {
             Attempt.logFailure(r, row, e);
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/LateCopyTest.java
@@ -0,0 +1,188 @@
+package org.verbenatally.forward;
+
+import java.io.IOException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.verbenatally.core.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
+import static org.verbenatally.forward.ForwardFixture.ENGINES;
+
+/** Targets that send a second copy of an answer, late, on a connection that is in use again. */
+class LateCopyTest {
+    private static final int CALLERS = 8;
+    private static final int ROUNDS = 25;
+
+    private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+    private final AtomicInteger copies = new AtomicInteger();
+    private final List<RawTarget> targets = new ArrayList<>();
+    private ForwardFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardFixture();
+        fixture.configure(1);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        fixture.close();
+        for (RawTarget target : targets) {
+            target.close();
+        }
+    }
+
+    private static String served(String id, String framing) {
+        return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\n" + framing;
+    }
+
+    private static String served(String id) {
+        return served(id, "Content-Length: " + id.length() + "\r\n\r\n" + id);
+    }
+
+    private static String refused(String id) {
+        return "HTTP/1.1 503 Full\r\nTest-Id: " + id + "\r\nTest-Not-Run: yes\r\nContent-Length: 0\r\n\r\n";
+    }
+
+    private int run(String id) {
+        return runs.computeIfAbsent(id, i -> new AtomicInteger()).incrementAndGet();
+    }
+
+    private RawTarget publish(String name, ServiceName service, long coldMs, RawTarget.Script script) throws Exception {
+        RawTarget target = new RawTarget(script);
+        targets.add(target);
+        fixture.publish(name, service, target, coldMs);
+        return target;
+    }
+
+    /**
+     * Guards against an answer that is handed to the next caller on a kept connection, whether its copy comes before
+     * the next request or just after it.
+     */
+    @ParameterizedTest
+    @CsvSource({"/once/x, 0", "/once/x, 5", "/repeat/x, 0", "/repeat/x, 5"})
+    void nobodyGetsTheAnswerOfAnother(String path, long delayMs) throws Exception {
+        for (String name : List.of("a", "b")) {
+            Map<Object, String> lastOf = new ConcurrentHashMap<>();
+            publish(name, CALLS, 0, (head, out, socket) -> {
+                String id = RawTarget.header(head, TestCodec.ID);
+                run(id);
+                String last = lastOf.put(socket, id);
+                if (last != null && delayMs > 0) {
+                    copies.incrementAndGet();
+                    RawTarget.write(out, served(last));
+                }
+                TimeUnit.MILLISECONDS.sleep(delayMs);
+                RawTarget.write(out, served(id));
+                if (delayMs == 0) {
+                    copies.incrementAndGet();
+                    RawTarget.write(out, served(id));
+                }
+                return true;
+            });
+        }
+        for (int round = 0; round < ROUNDS; round++) {
+            Map<String, CompletableFuture<HttpResponse<String>>> answers = new ConcurrentHashMap<>();
+            for (int i = 0; i < CALLERS; i++) {
+                String id = "r" + round + "-" + i;
+                answers.put(id, fixture.sendLater(fixture.request(path, id).build()));
+            }
+            for (var answer : answers.entrySet()) {
+                HttpResponse<String> got = answer.getValue().get(20, TimeUnit.SECONDS);
+                if (got.statusCode() == 200) {
+                    assertThat(got.body()).isEqualTo(answer.getKey());
+                } else {
+                    assertThat(got.statusCode()).as("says that it has not run").isNotIn(429, 503, 408, 421);
+                }
+            }
+        }
+        assertThat(copies).as("copies sent").hasPositiveValue();
+        if (path.startsWith("/once")) {
+            assertThat(runs.values()).allMatch(n -> n.get() == 1);
+        }
+    }
+
+    /** Guards against a refusal of another request that makes a running one run again elsewhere. */
+    @ParameterizedTest
+    @CsvSource({"/once/x, calls", "/stream/x, engines"})
+    void refusalOfAnotherRequestDoesNotCount(String path, String service) throws Exception {
+        ServiceName name = service.equals("calls") ? CALLS : ENGINES;
+        for (String target : List.of("a", "b")) {
+            Map<Object, String> lastOf = new ConcurrentHashMap<>();
+            publish(target, name, 0, (head, out, socket) -> {
+                String id = RawTarget.header(head, TestCodec.ID);
+                String last = lastOf.put(socket, id);
+                if (last == null) {
+                    RawTarget.write(out, refused(id));
+                    return true;
+                }
+                // The request is at work from here on, while the copy of the refusal is on its way.
+                run(id);
+                copies.incrementAndGet();
+                RawTarget.write(out, refused(last));
+                TimeUnit.MILLISECONDS.sleep(200);
+                return false;
+            });
+        }
+        for (int i = 0; i < 20; i++) {
+            int before = copies.get();
+            int status = status(fixture.request(path, "r" + i)
+                    .header(TestCodec.TOKENS, "400")
+                    .build());
+            if (copies.get() > before) {
+                assertThat(status).as("says that it has not run").isNotIn(429, 503, 408, 421);
+            }
+        }
+        assertThat(copies).as("copies sent").hasPositiveValue();
+        assertThat(runs).allSatisfy((id, n) -> assertThat(n).as(id).hasValue(1));
+    }
+
+    /** Returns the status of an answer, 0 if the connection was closed instead. */
+    private int status(HttpRequest request) throws InterruptedException {
+        try {
+            return fixture.send(request).statusCode();
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    /** Guards against a stream that is mixed with that of another request. */
+    @Test
+    void copyOfAStreamIsNotPassedOn() throws Exception {
+        Map<Object, String> lastOf = new ConcurrentHashMap<>();
+        publish("a", ENGINES, 0, (head, out, socket) -> {
+            String id = RawTarget.header(head, TestCodec.ID);
+            String last = lastOf.put(socket, id);
+            if (last != null) {
+                copies.incrementAndGet();
+                RawTarget.write(out, served(last));
+            }
+            RawTarget.write(out, served(id, "Transfer-Encoding: chunked\r\n\r\n"));
+            String event = "id: 1\ndata: " + id + "\n\n";
+            RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n0\r\n\r\n");
+            return true;
+        });
+        for (int i = 0; i < 20; i++) {
+            HttpResponse<String> got =
+                    fixture.send(fixture.request("/stream/x", "r" + i).build());
+            if (got.statusCode() == 200) {
+                assertThat(got.body()).isEqualTo("id: 1\ndata: r" + i + "\n\n");
+            }
+        }
+        assertThat(copies).as("copies sent").hasPositiveValue();
+    }
+}
