Ask for the configuration again within a second, whatever the size of the fleet

Change: the configuration is asked for again after 0.2 to 0.8 s as before, now decided by ReadPace. The list of targets keeps its turns.

Test: ReadPaceTest.configurationIsAskedForAgainWithinASecond.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -162,11 +162,6 @@
         return config.deployment().map(d -> d.version().value()).orElse(0L);
     }
 
-    /** Returns whether a configuration is in force. */
-    public boolean hasConfig() {
-        return config.deployment().isPresent();
-    }
-
     /** Returns the targets. */
     public TargetDirectory directory() {
         return directory;
@@ -182,7 +177,7 @@
         if (shutdown.isStopping()) {
             return Optional.of("stopping");
         }
-        if (!hasConfig()) {
+        if (config.deployment().isEmpty()) {
             return Optional.of("no configuration is in force");
         }
         return directory.isKnown() ? Optional.empty() : Optional.of("no targets are known");
--- a/forward/src/main/java/org/verbenatally/forward/ReadPace.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReadPace.java
@@ -21,6 +21,11 @@
     /** Pauses are up to this part shorter, so that instances that started together do not stay in step. */
     private static final double SPREAD = 0.3;
 
+    /** A configuration that could not be read is asked for again after this time, then after twice as long. */
+    private static final Duration FIRST_RETRY = Duration.ofMillis(200);
+    /** Gives 800 ms; a version must be in force within two seconds or more. */
+    private static final int MOST_DOUBLINGS = 2;
+
     /** A watch that hears nothing is renewed after this time, which bounds the harm of a silent connection. */
     private static final Duration SHORTEST_WATCH = Duration.ofSeconds(4);
     /** Longest watch that the source allows. */
@@ -82,6 +87,18 @@
         return Duration.ofNanos((long) (SHORTEST_PAUSE.toNanos() * part));
     }
 
+    /**
+     * Returns the pause before a configuration is asked for again. It does not grow with the fleet: a version must be
+     * in force soon, and what cuts the watch of one instance may cut those of all, so that no peer has heard of it.
+     *
+     * @param failures how often it was asked for in vain, at least once
+     */
+    public Duration retry(int failures) {
+        Duration longest = FIRST_RETRY.multipliedBy(1L << Math.min(failures, MOST_DOUBLINGS + 1) - 1);
+        double part = 1 - SPREAD * random.getAsDouble();
+        return Duration.ofNanos((long) (longest.toNanos() * part));
+    }
+
     /** Returns how long one watch of the configuration waits; in a large fleet others hear of a change as well. */
     public Duration watch(int members) {
         return clamp(share(members, FLEET_WATCHES_PER_SECOND), SHORTEST_WATCH, LONGEST_WATCH);
--- a/forward/src/test/java/org/verbenatally/forward/ReadPaceTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ReadPaceTest.java
@@ -51,4 +51,15 @@
         Optional<Duration> old = Optional.of(STALE.plusMillis(1));
         assertThat(pace.pause(95, old)).isLessThanOrEqualTo(Duration.ofSeconds(2));
     }
+
+    /**
+     * Pattern: the watches of all instances are cut while a version is published, as on large scale-1 (1a15df65).
+     * Guards against a fleet in which each waits for its turn, and nobody reads the version for seconds.
+     */
+    @Test
+    void configurationIsAskedForAgainWithinASecond() {
+        for (int failures = 1; failures < 40; failures++) {
+            assertThat(pace.retry(failures)).isBetween(Duration.ofMillis(100), Duration.ofSeconds(1));
+        }
+    }
 }
