Count failures at targets wherever the steady clock began

Cause, found on reading the change: the first count of a target was aged from zero of the clock, whose origin may lie in the future; the counts were then not numbers, and failures there were never stated.

Change: counts do not age backwards.

--- a/forward/src/main/java/org/verbenatally/forward/RecentOutcomes.java
+++ b/forward/src/main/java/org/verbenatally/forward/RecentOutcomes.java
@@ -21,7 +21,8 @@
     }
 
     private void age(long now) {
-        double factor = Math.pow(0.5, (now - asOf) / HALF_LIFE_NANOS);
+        // Not older than the first count, as the origin of the clock may lie in the future.
+        double factor = Math.pow(0.5, Math.max(0, now - asOf) / HALF_LIFE_NANOS);
         failures *= factor;
         answers *= factor;
         asOf = now;
