Log the shared parts of prompts, and how far a generation was when its target died

The lines of target.crashed could not tell whether crashes have a part of the prompt in common, nor which requests their target had begun to answer. No decision has changed. Tests of core, forward and platform pass.

--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -93,8 +93,8 @@
     /** Sends the request once. Returns the outcome, or empty if another target may be tried. */
     private Optional<String> attempt(TargetState state, Duration remaining) {
         tried.add(state.target().id());
-        InFlightRequest inFlight =
-                new InFlightRequest(request.id(), request.fingerprint(), state, null, null, () -> {});
+        InFlightRequest inFlight = new InFlightRequest(
+                request.id(), request.fingerprint(), request.head().sharedParts(), state, null, null, () -> {});
         try {
             sends++;
             var metadata = new ForwardingMetadata(
--- a/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
+++ b/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
@@ -79,15 +79,17 @@
         ForwardTarget target = state.target();
         List<InFlightRequest> running = state.inFlightRequests();
         boolean alone = running.size() <= 1 && state.peerRequests() == 0;
+        long now = timer.nanos();
         probes.connect(target.address().port(), target.address().host())
                 .onSuccess(socket -> {
                     socket.close();
                     state.onListening();
                 })
-                .onFailure(e -> onCrash(target, running, alone, e));
+                .onFailure(e -> onCrash(target, running, alone, now, e));
     }
 
-    private void onCrash(ForwardTarget target, List<InFlightRequest> running, boolean alone, Throwable reason) {
+    private void onCrash(
+            ForwardTarget target, List<InFlightRequest> running, boolean alone, long lostAt, Throwable reason) {
         List<InFlightRequest> suspected = running.stream()
                 .filter(inFlight -> !hasRecentResponse(inFlight.fingerprint()))
                 .toList();
@@ -99,6 +101,10 @@
                 .request(inFlight.requestId())
                 .with("target", target.id())
                 .with("alone", alone)
+                .with("sharedParts", inFlight.sharedParts())
+                .with(
+                        "generatingMs",
+                        inFlight.generatingFor(lostAt).map(Duration::toMillis).orElse(-1L))
                 .with("verdict", suspects.verdict(inFlight.fingerprint()))
                 .with("reason", reason.getMessage())
                 .info(LOG));
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -162,6 +162,7 @@
                 .with("service", service.name())
                 .with("organisation", organisation.map(Object::toString).orElse(""))
                 .with("patienceMs", timeout.toMillis())
+                .with("sharedParts", head.sharedParts())
                 .with("version", d.version().value())
                 .info(LOG);
         return forwarded;
--- a/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
+++ b/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
@@ -1,13 +1,18 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
 
+import org.verbenatally.core.PromptPartId;
 import org.verbenatally.policy.Fingerprint;
 
 /** One request in flight at a target, as part of that target's load. */
 final class InFlightRequest {
     private final String requestId;
     private final Fingerprint fingerprint;
+    private final List<PromptPartId> sharedParts;
     private final TargetState targetState;
     private final TargetState backup;
     private final Generation generation;
@@ -15,12 +20,14 @@
     private final AtomicBoolean ended = new AtomicBoolean();
     private volatile boolean promptUnread = true;
     private volatile long generated;
+    private volatile long firstTokensNanos;
 
     /**
      * Creates an in-flight request and adds it to the load of its target and of the engine that keeps its backup.
      *
      * @param requestId id of the request
      * @param fingerprint the same for each retry of the request by its caller
+     * @param sharedParts parts of its prompt that other requests may have in common with it
      * @param targetState target that runs it
      * @param backup engine that keeps a backup, or {@code null}
      * @param generation the generation that it asks for, or {@code null} at a plain service
@@ -29,12 +36,14 @@
     InFlightRequest(
             String requestId,
             Fingerprint fingerprint,
+            List<PromptPartId> sharedParts,
             TargetState targetState,
             TargetState backup,
             Generation generation,
             Runnable onLeaving) {
         this.requestId = requestId;
         this.fingerprint = fingerprint;
+        this.sharedParts = sharedParts;
         this.targetState = targetState;
         this.backup = backup;
         this.generation = generation;
@@ -53,6 +62,10 @@
         return fingerprint;
     }
 
+    List<PromptPartId> sharedParts() {
+        return sharedParts;
+    }
+
     TargetState targetState() {
         return targetState;
     }
@@ -71,16 +84,28 @@
         return promptUnread && generation != null ? generation.promptTokens() : 0;
     }
 
-    /** Records the tokens generated so far, once there are any. */
-    void setGenerated(long tokens) {
+    /**
+     * Records the tokens generated so far, once there are any.
+     *
+     * @param now monotonic time, in nanoseconds
+     */
+    void setGenerated(long tokens, long now) {
         boolean firstTokens = promptUnread;
-        promptUnread = false;
+        if (firstTokens) {
+            firstTokensNanos = now;
+            promptUnread = false;
+        }
         generated = tokens;
         if (firstTokens) {
             targetState.reportLoadChange(this);
         }
     }
 
+    /** Returns for how long the target has been sending tokens; empty if it has not sent any. */
+    Optional<Duration> generatingFor(long now) {
+        return promptUnread ? Optional.empty() : Optional.of(Duration.ofNanos(now - firstTokensNanos));
+    }
+
     boolean isGeneration() {
         return generation != null;
     }
--- a/forward/src/main/java/org/verbenatally/forward/RequestHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/RequestHead.java
@@ -1,9 +1,12 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
+import org.verbenatally.core.PromptPartId;
+
 /**
  * The values that an instance reads from the head of a caller's request.
  *
@@ -13,6 +16,7 @@
  * @param credential credential that identifies the caller's organisation
  * @param callerTimeout how long the caller waits for the response, if it states that
  * @param generation the generation that it asks for, if it asks for one
+ * @param sharedParts parts of its prompt that other requests may have in common with it, in order
  */
 public record RequestHead(
         String id,
@@ -20,12 +24,14 @@
         String path,
         Optional<String> credential,
         Optional<Duration> callerTimeout,
-        Optional<Generation> generation) {
+        Optional<Generation> generation,
+        List<PromptPartId> sharedParts) {
 
-    /** Checks that id, host and path are not {@code null}. */
+    /** Checks that id, host, path and parts are not {@code null}. */
     public RequestHead {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(path, "path");
+        sharedParts = List.copyOf(sharedParts);
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -323,8 +323,10 @@
             lastChunkNanos = now;
             chunksForwarded++;
             segment.inFlight()
-                    .setGenerated(events.count()
-                            * request.service().engine().orElseThrow().tokensPerEvent());
+                    .setGenerated(
+                            events.count()
+                                    * request.service().engine().orElseThrow().tokensPerEvent(),
+                            now);
             caller.write(complete);
             // The time that a slow caller takes to read must not count towards the engine's silence.
             lastProgressNanos = components.timer().nanos();
--- a/forward/src/test/java/org/verbenatally/forward/TargetChooserTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetChooserTest.java
@@ -44,7 +44,7 @@
     private static List<InFlightRequest> load(TargetState state, int generations) {
         List<InFlightRequest> inFlight = new ArrayList<>();
         for (int i = 0; i < generations; i++) {
-            inFlight.add(new InFlightRequest("r" + i, new Fingerprint(i, i), state, null, GUIDE, () -> {}));
+            inFlight.add(new InFlightRequest("r" + i, new Fingerprint(i, i), List.of(), state, null, GUIDE, () -> {}));
         }
         return inFlight;
     }
@@ -67,7 +67,7 @@
     @Test
     void fullEngineIsAvoided() {
         publish(Targets.ready("full"), Targets.in("far", "empty"));
-        load(state("full"), 9).forEach(f -> f.setGenerated(1));
+        load(state("full"), 9).forEach(f -> f.setGenerated(1, 0));
         for (int i = 0; i < 5; i++) {
             TargetState state = chooser.chooseEngine(ENGINES, GUIDE, Set.of()).orElseThrow();
             assertThat(state.target().id().value()).isEqualTo("empty");
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -143,8 +143,8 @@
         publish(ready("a"));
         AtomicInteger notifications = new AtomicInteger();
         TargetState state = directory.candidates(SERVICE).getFirst();
-        InFlightRequest inFlight =
-                new InFlightRequest("r1", new Fingerprint(1, 1), state, null, null, notifications::incrementAndGet);
+        InFlightRequest inFlight = new InFlightRequest(
+                "r1", new Fingerprint(1, 1), List.of(), state, null, null, notifications::incrementAndGet);
         publish(leaving("a"));
         assertThat(notifications).hasValue(1);
         inFlight.end();
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -1,8 +1,10 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.stream.Stream;
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
@@ -10,12 +12,14 @@
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.HttpServerRequest;
 import org.verbenatally.core.Address;
+import org.verbenatally.core.PromptPartId;
 
 /** Codec for tests, with header names of its own. */
 final class TestCodec implements HttpMessageCodec {
     static final String ID = "Test-Id";
     static final String CALLER_TIMEOUT = "Test-Patience";
     static final String TOKENS = "Test-Tokens";
+    static final String PARTS = "Test-Parts";
     static final String KEY = "Test-Key";
     static final String TARGET = "Test-Target";
     static final String ORGANISATION = "Test-Organisation";
@@ -28,6 +32,7 @@
     @Override
     public RequestHead read(HttpServerRequest request) {
         String tokens = request.getHeader(TOKENS);
+        String parts = request.getHeader(PARTS);
         return new RequestHead(
                 Optional.ofNullable(request.getHeader(ID)).orElseThrow(() -> new IllegalArgumentException("no id")),
                 request.authority().host(),
@@ -36,7 +41,10 @@
                 Optional.ofNullable(request.getHeader(CALLER_TIMEOUT)).map(v -> Duration.ofMillis(Long.parseLong(v))),
                 tokens == null
                         ? Optional.empty()
-                        : Optional.of(new Generation(100, Long.parseLong(tokens), OptionalLong.empty())));
+                        : Optional.of(new Generation(100, Long.parseLong(tokens), OptionalLong.empty())),
+                parts == null
+                        ? List.of()
+                        : Stream.of(parts.split(",")).map(PromptPartId::new).toList());
     }
 
     @Override
