Take a refusal for this request's own only if it says so, on a kept connection

What callers would see: 'not run, try again' for a request that a target is running, or the request runs at a second target as well (REFUSED, TWICE).

Cause: a faulty target that writes an earlier refusal once more, without the id of the request it belongs to, was believed: only refusals with another id were ignored. A copy can arrive on a connection that has carried a response before.

Change: on such a connection a refusal must state its request.

DuplicateResponseTest.refusalOfAnotherRequestIsIgnored, with refusals that do not state an id, failed before for calls and for generations and passes now, as does ForwardServerTest.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -18,9 +18,14 @@
  * @param clientRequest the exchange, to be reset if its response is not read to the end
  * @param response the response, paused
  * @param head the decoded head of the response
+ * @param reused whether the connection had been used before
  */
 record Attempt(
-        TargetState targetState, HttpClientRequest clientRequest, HttpClientResponse response, ResponseHead head) {
+        TargetState targetState,
+        HttpClientRequest clientRequest,
+        HttpClientResponse response,
+        ResponseHead head,
+        boolean reused) {
     private static final Logger LOG = Logger.getLogger(Attempt.class);
 
     /**
@@ -73,11 +78,12 @@
                 .with("backup", metadata.backup().map(Object::toString).orElse(""))
                 .with("continues", metadata.continuation().isPresent())
                 .info(LOG);
+        boolean reused = components.client().isReused(clientRequest);
         try {
             HttpClientResponse response =
                     components.client().send(clientRequest, request.body(), limit, caller::onGone);
             return new Attempt(
-                    state, clientRequest, response, components.codec().read(response));
+                    state, clientRequest, response, components.codec().read(response), reused);
         } catch (StepException e) {
             if (!caller.isGone() && !(e.getCause() instanceof TimeoutException)) {
                 state.onUnreachable(components.timer().nanos());
@@ -87,6 +93,15 @@
         }
     }
 
+    /**
+     * Returns whether the response may belong to another request, or cannot be trusted for another reason. On a
+     * connection that was used before, a refusal must state its request, as it may be a copy of an earlier one.
+     */
+    boolean isUntrusted(ForwardedRequest request) {
+        return head.isUntrusted(request.id())
+                || reused && head.notRun() && head.requestId().isEmpty();
+    }
+
     /** Logs that the target has not run the request, or has no copy to continue from. */
     void logNotRun(ForwardedRequest request) {
         LogEvent.of("attempt.notRun")
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -147,7 +147,7 @@
     private Optional<String> onResponse(Attempt attempt, InFlightRequest inFlight) {
         ResponseHead head = attempt.head();
         TargetState state = attempt.targetState();
-        if (head.isUntrusted(request.id())) {
+        if (attempt.isUntrusted(request)) {
             attempt.cancel();
             throw new StepException(
                     Step.SEND, state.target().id().value(), Outcome.UNKNOWN, "answer belongs to another request");
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -156,7 +156,7 @@
             Attempt attempt =
                     sender.send(inFlight, AdmissionRank.CONTINUED, Optional.of(continuation), CONTINUE_TIMEOUT);
             ResponseHead head = attempt.head();
-            if (head.notRun() || !head.isSuccess() || head.isUntrusted(request.id())) {
+            if (head.notRun() || !head.isSuccess() || attempt.isUntrusted(request)) {
                 attempt.cancel();
                 inFlight.end();
                 attempt.logNotRun(request);
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -156,7 +156,7 @@
                     Optional.empty(),
                     request.remaining(components.timer().nanos()));
             // A refusal that belongs to another request says nothing about this one, which may be running.
-            if (attempt.head().isUntrusted(request.id())) {
+            if (attempt.isUntrusted(request)) {
                 attempt.cancel();
                 inFlight.end();
                 return Optional.of(fail("answer belongs to another request"));
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -52,8 +52,10 @@
     private final Vertx vertx;
     private final IntSupplier members;
     /** Connections that failed; held weakly, as they are of no use once their responses are gone. */
-    private final Set<HttpConnection> failedConnections =
-            Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
+    private final Set<HttpConnection> failedConnections = weakSet();
+
+    /** Connections on which a response has arrived; held weakly as well. */
+    private final Set<HttpConnection> usedConnections = weakSet();
 
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
 
@@ -62,6 +64,10 @@
         this.members = Objects.requireNonNull(members, "members");
     }
 
+    private static Set<HttpConnection> weakSet() {
+        return Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
+    }
+
     private HttpClient client(ServiceSpec service) {
         return clients.computeIfAbsent(service.name(), name -> {
             int share = service.maxConnections() / Math.max(1, members.getAsInt());
@@ -109,6 +115,14 @@
         return new StepException(Step.CONNECT, address.toString(), Outcome.NOT_RUN, message, cause);
     }
 
+    /**
+     * Returns whether a response has arrived on the connection of a request that has not been sent. A faulty target may
+     * send a second copy of such a response where that of the request is due.
+     */
+    boolean isReused(HttpClientRequest request) {
+        return usedConnections.contains(request.connection());
+    }
+
     /**
      * Sends a request and waits for the head of the response, which is returned paused.
      *
@@ -123,7 +137,9 @@
         onSent.accept(request::reset);
         String peer = String.valueOf(request.connection().remoteAddress());
         try {
-            return TimedAwait.await(responseFuture, limit);
+            HttpClientResponse response = TimedAwait.await(responseFuture, limit);
+            usedConnections.add(request.connection());
+            return response;
         } catch (TimeoutException e) {
             request.reset();
             String message = "no response within " + limit.toMillis() + " ms";
--- a/forward/src/test/java/org/verbenatally/forward/DuplicateResponseTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/DuplicateResponseTest.java
@@ -26,6 +26,8 @@
 class DuplicateResponseTest {
     private static final int CALLERS = 8;
     private static final int ROUNDS = 25;
+    private static final String REFUSED_WITHOUT_ID =
+            "HTTP/1.1 503 Full\r\nTest-Not-Run: yes\r\nContent-Length: 0\r\n\r\n";
 
     private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
     private final AtomicInteger duplicates = new AtomicInteger();
@@ -118,10 +120,14 @@
         }
     }
 
-    /** Guards against a refusal of another request that causes a running one to be run again elsewhere. */
+    /**
+     * Guards against a refusal of another request that causes a running one to be run again elsewhere, or reported
+     * as not run, also if the refusal does not state to which request it belongs.
+     */
     @ParameterizedTest
-    @CsvSource({"/once/x, calls", "/stream/x, engines"})
-    void refusalOfAnotherRequestIsIgnored(String path, String service) throws Exception {
+    @CsvSource({"/once/x, calls, true", "/stream/x, engines, true", "/once/x, calls, false", "/stream/x, engines, false"
+    })
+    void refusalOfAnotherRequestIsIgnored(String path, String service, boolean statesId) throws Exception {
         ServiceName name = service.equals("calls") ? CALLS : ENGINES;
         for (String target : List.of("a", "b")) {
             Map<Object, String> previousIds = new ConcurrentHashMap<>();
@@ -129,13 +135,13 @@
                 String id = RawTarget.header(head, TestCodec.ID);
                 String previousId = previousIds.put(socket, id);
                 if (previousId == null) {
-                    RawTarget.write(out, refused(id));
+                    RawTarget.write(out, statesId ? refused(id) : REFUSED_WITHOUT_ID);
                     return true;
                 }
                 // The request is running from here on, while the copy of the refusal is on its way.
                 countRun(id);
                 duplicates.incrementAndGet();
-                RawTarget.write(out, refused(previousId));
+                RawTarget.write(out, statesId ? refused(previousId) : REFUSED_WITHOUT_ID);
                 TimeUnit.MILLISECONDS.sleep(200);
                 return false;
             });
