Refuse generations in a long grace period once the load balancer has noticed

What callers would see: a generation that came late in the grace period breaks off at its end (LOST).

Cause: generations were accepted for three tenths of the grace period, however long that is; with 60 s they were taken 18 s after the stop had begun. Calls were safe: they are only accepted if the process outlives their timeout.

Change: after the load balancer has noticed, a generation is accepted like a call, only if the process outlives its timeout.

ShutdownTest.generationThatMayOutliveProcessIsRefusedOnceBalancerHasNoticed failed before and passes now.

--- a/forward/src/main/java/org/verbenatally/forward/Shutdown.java
+++ b/forward/src/main/java/org/verbenatally/forward/Shutdown.java
@@ -63,8 +63,9 @@
     }
 
     /**
-     * Returns whether new requests of a kind are accepted. During a shutdown, a call is accepted only if the process
-     * outlives it, whatever its target does; generations are accepted until the load balancer has noticed.
+     * Returns whether new requests of a kind are accepted. During a shutdown, a request is accepted only if the process
+     * outlives it, whatever its target does. Generations, most of which end long before their timeout, are accepted in
+     * any case until the load balancer has noticed.
      *
      * @param retrySafety retry safety of the request
      * @param timeout longest time until its response
@@ -77,9 +78,12 @@
             return false;
         }
         Duration elapsed = elapsed();
+        if (elapsed.plus(timeout).compareTo(grace.minus(EXIT_TIME)) < 0) {
+            return true;
+        }
         return retrySafety == RetrySafety.GENERATION
-                ? elapsed.toNanos() < ACCEPTING_SHARE * grace.toNanos()
-                : elapsed.plus(timeout).compareTo(grace.minus(EXIT_TIME)) < 0;
+                && elapsed.compareTo(BALANCER_LAG) < 0
+                && elapsed.toNanos() < ACCEPTING_SHARE * grace.toNanos();
     }
 
     /** Starts the shutdown; completes when the process may end. */
--- a/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
@@ -52,4 +52,30 @@
             stopped.get(10, TimeUnit.SECONDS);
         }
     }
+
+    /** Guards against a call that is taken late in the grace period and cut off at its end without a response. */
+    @Test
+    void lateCallIsRefusedOrAnsweredBeforeTheEnd() throws Exception {
+        CompletableFuture<Void> never = new CompletableFuture<>();
+        try (var fixture = new ForwardFixture();
+                var target = new RawTarget((head, out, socket) -> {
+                    never.join();
+                    return false;
+                });
+                var outlived = new RawCaller(fixture.callers);
+                var tooLong = new RawCaller(fixture.callers)) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            CompletableFuture<Void> stopped = fixture.server.stop();
+            outlived.write(request(fixture, "outlived", 1_000));
+            tooLong.write(request(fixture, "too-long", 2_000));
+            assertThat(tooLong.read("(never)")).startsWith("HTTP/1.1 503");
+            assertThat(outlived.read("(never)")).startsWith("HTTP/1.1 504");
+            assertThat(target.requests())
+                    .singleElement()
+                    .satisfies(head ->
+                            assertThat(RawTarget.header(head, TestCodec.ID)).isEqualTo("outlived"));
+            stopped.get(10, TimeUnit.SECONDS);
+        }
+    }
 }
--- a/forward/src/test/java/org/verbenatally/forward/ShutdownTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ShutdownTest.java
@@ -26,6 +26,22 @@
         assertThat(isAcceptingCall()).isFalse();
     }
 
+    /**
+     * Guards against a long grace period in which generations are accepted after the load balancer has noticed, and
+     * then cut off at its end.
+     */
+    @Test
+    void generationThatMayOutliveProcessIsRefusedOnceBalancerHasNoticed() {
+        shutdown.setGrace(Duration.ofSeconds(60));
+        shutdown.start();
+        Duration longest = Duration.ofSeconds(59);
+        assertThat(shutdown.isAccepting(RetrySafety.GENERATION, longest)).isTrue();
+        timer.advance(Duration.ofSeconds(3));
+        assertThat(shutdown.isAccepting(RetrySafety.GENERATION, longest)).isFalse();
+        assertThat(shutdown.isAccepting(RetrySafety.GENERATION, Duration.ofSeconds(6)))
+                .isTrue();
+    }
+
     /** Guards against an end while a request is open, or just after one has been read. */
     @Test
     void completesOnlyWhenNothingIsOpen() {
