Match the responses of plain services with their calls in the entry

What callers would see: the answer to another caller's call, or 'not run' for a call that runs, if a faulty service writes a response once more on a kept connection. Calls that must not repeat always use a new connection, so they were not affected.

Cause: the same as in forward, looked for here: nothing in a response said to which call it belongs.

Change: services state the Call-Id in their responses. One with another id, or without an id on a connection that was used before, is a protocol violation, which leaves it open whether the call has run. Load reports have connections of their own.

--- a/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
@@ -15,7 +15,6 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
@@ -149,7 +148,7 @@
     }
 
     private ReportedLoad fetch(Target target) throws TargetFailure {
-        HttpClientRequest request = http.connectPooled(target, HttpMethod.GET, "/v1/load");
+        HttpClientRequest request = http.connectForLoad(target, "/v1/load");
         HttpClientResponse response = http.send(target, request, null, TIMEOUT);
         Buffer body = http.readBody(target, request, response, MAX_REPORT_BYTES, TIMEOUT);
         try {
--- a/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
@@ -16,6 +16,7 @@
     /** Maximum size of a response body; it must fit into one frame between entry instances. */
     public static final int MAX_RESPONSE_BYTES = 960 * 1024;
 
+    private static final String CALL_ID = "Call-Id";
     private static final int UNAVAILABLE = 503;
 
     private final TargetHttpClient http;
@@ -37,7 +38,8 @@
      *
      * @param target the service to call
      * @param kind kind of work
-     * @param callId id of the call
+     * @param callId id of the call, which the target states in its response; the connection of a response without it is
+     *     not kept, since a copy of such a response could not be told from that of a later call
      * @param body the request body, JSON that is passed through unchanged
      * @param newConnection whether a new connection must be opened
      * @param timeout maximum time until the response is complete
@@ -62,11 +64,21 @@
             throw new TargetFailure(
                     target.id(), TargetFailure.Cause.NOT_CONNECTED, "the call expired before it was sent");
         }
-        request.putHeader("Content-Type", "application/json").putHeader("Call-Id", callId);
+        boolean reused = http.isReused(request);
+        request.putHeader("Content-Type", "application/json").putHeader(CALL_ID, callId);
         long start = System.nanoTime();
         HttpClientResponse response = http.send(target, request, body, timeout);
+        String statedId = response.getHeader(CALL_ID);
+        if (statedId == null ? reused : !statedId.equals(callId)) {
+            request.reset();
+            throw new TargetFailure(
+                    target.id(), TargetFailure.Cause.BAD_ANSWER, "response does not state that it belongs to the call");
+        }
         Duration remaining = timeout.minusNanos(System.nanoTime() - start);
         Buffer responseBody = http.readBody(target, request, response, MAX_RESPONSE_BYTES, remaining);
+        if (statedId == null) {
+            request.connection().close();
+        }
         if (response.statusCode() == UNAVAILABLE) {
             throw Refusals.parse(target.id(), responseBody);
         }
--- a/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
@@ -3,6 +3,9 @@
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
+import java.util.Collections;
+import java.util.Set;
+import java.util.WeakHashMap;
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
@@ -13,6 +16,7 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -24,17 +28,22 @@
     static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
     private static final int MAX_CONNECTIONS_PER_TARGET = 4_096;
+    private static final int KEEP_ALIVE_SECONDS = 10;
     private static final int MAX_HEADER_BYTES = 8_192;
 
     private final Vertx vertx;
     private final HttpClient unpooledClient;
     private final HttpClient pooledClient;
+    private final HttpClient loadClient;
+    /** Pooled connections on which a response has arrived; held weakly, as they are of no use once they are closed. */
+    private final Set<HttpConnection> usedConnections =
+            Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
 
     TargetHttpClient(Vertx vertx) {
         this.vertx = vertx;
         this.unpooledClient = vertx.createHttpClient(clientOptions().setKeepAlive(false), poolOptions());
-        this.pooledClient =
-                vertx.createHttpClient(clientOptions().setKeepAlive(true).setKeepAliveTimeout(10), poolOptions());
+        this.pooledClient = vertx.createHttpClient(pooledOptions(), poolOptions());
+        this.loadClient = vertx.createHttpClient(pooledOptions(), poolOptions());
     }
 
     private static HttpClientOptions clientOptions() {
@@ -44,6 +53,10 @@
                 .setTcpNoDelay(true);
     }
 
+    private static HttpClientOptions pooledOptions() {
+        return clientOptions().setKeepAlive(true).setKeepAliveTimeout(KEEP_ALIVE_SECONDS);
+    }
+
     private static PoolOptions poolOptions() {
         return new PoolOptions().setHttp1MaxSize(MAX_CONNECTIONS_PER_TARGET);
     }
@@ -62,6 +75,16 @@
         return connect(pooledClient, target, method, uri);
     }
 
+    /** Creates a request for a load report, on a pooled connection that carries no other requests. */
+    HttpClientRequest connectForLoad(Target target, String uri) throws TargetFailure {
+        return connect(loadClient, target, HttpMethod.GET, uri);
+    }
+
+    /** Returns whether a response has arrived on the connection of a request that has not been sent. */
+    boolean isReused(HttpClientRequest request) {
+        return usedConnections.contains(request.connection());
+    }
+
     private HttpClientRequest connect(HttpClient client, Target target, HttpMethod method, String uri)
             throws TargetFailure {
         RequestOptions options = new RequestOptions()
@@ -108,7 +131,9 @@
         Future<HttpClientResponse> headFuture = sendFuture.onSuccess(
                 response -> response.exceptionHandler(e -> {}).pause());
         try {
-            return TimedAwait.await(headFuture, timeout);
+            HttpClientResponse response = TimedAwait.await(headFuture, timeout);
+            usedConnections.add(request.connection());
+            return response;
         } catch (TimeoutException e) {
             request.reset();
             throw new TargetFailure(
--- a/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
+++ b/tools/src/main/java/org/verbenatally/standin/ServiceStandin.java
@@ -20,6 +20,8 @@
 public final class ServiceStandin implements AutoCloseable {
     private record Call(HttpServerRequest request, String id, String kind, JsonObject body) {}
 
+    private static final String CALL_ID = "Call-Id";
+
     private final StandinHost host;
     private final History history;
     private final SplittableRandom random;
@@ -94,11 +96,12 @@
     }
 
     private void acceptCall(HttpServerRequest request, String kind, JsonObject body) {
-        String id = request.getHeader("Call-Id");
+        String id = request.getHeader(CALL_ID);
         if (id == null || id.isEmpty()) {
-            StandinHost.respondError(request, 400, "header Call-Id is required");
+            StandinHost.respondError(request, 400, "header " + CALL_ID + " is required");
             return;
         }
+        request.response().putHeader(CALL_ID, id);
         if (options.leaving() || waiting.size() >= options.maxWaiting() && running >= options.maxRunning()) {
             String reason = options.leaving() ? "leaving" : "full";
             history.add("refused", new JsonObject().put("call", id).put("reason", reason));
