Refuse prompts in the entry that begin like those which crashed engines

What callers would see: engines crash one after the other under requests that have only the start of their prompts in common.

Cause: the same as in forward, looked for here: SuspectTable knows whole requests (organisation, kind and body) and nothing that they share.

Change: the hash of the start of a prompt, which the entry has for its routing, is a trait; the dispatcher records crashes and served requests in the same CrashLedger. CrashReporter, which exchanges the reports with the other instances, is taken out of forward's CrashDetector and serves both programs.

A part in the middle of a prompt stays unknown to the entry, whose interface names no parts.

--- a/core/src/main/java/org/verbenatally/core/Trait.java
+++ b/core/src/main/java/org/verbenatally/core/Trait.java
@@ -3,8 +3,8 @@
 import java.util.Objects;
 
 /**
- * Something that a request may have in common with others and that may make it crash its target: its whole content, or
- * one part of its prompt.
+ * Something that a request may have in common with others and that may make it crash its target: its whole content, the
+ * start of its prompt, or one part of its prompt.
  *
  * @param value 1 to {@value #MAX_LENGTH} characters: what the trait is, a colon, and an id or a hash
  */
@@ -29,6 +29,11 @@
         return new Trait(PROMPT_PART + part);
     }
 
+    /** Returns the trait that all requests with the same start of their prompts have in common. */
+    public static Trait ofPrefix(long hash) {
+        return new Trait("prefix:" + Long.toHexString(hash));
+    }
+
     /** Returns whether this is a part of a prompt. */
     public boolean isPromptPart() {
         return value.startsWith(PROMPT_PART);
--- a/core/src/main/java/org/verbenatally/policy/DispatchedRequest.java
+++ b/core/src/main/java/org/verbenatally/policy/DispatchedRequest.java
@@ -16,6 +16,7 @@
     private final long startNanos;
 
     private boolean ended;
+    private volatile long firstTokenNanos;
     private volatile int outputTokens;
     private long lastTokenNanos;
 
@@ -52,6 +53,7 @@
                 return;
             }
             int count = outputTokens + 1;
+            firstTokenNanos = count == 1 ? now : firstTokenNanos;
             outputTokens = count;
             state.recordToken(now, count == 1 ? 0 : now - lastTokenNanos);
             lastTokenNanos = now;
@@ -82,6 +84,11 @@
         return startNanos;
     }
 
+    /** Returns when the first token arrived, on the monotonic clock; 0 if none has. */
+    long firstTokenNanos() {
+        return firstTokenNanos;
+    }
+
     /** Returns the number of output tokens so far. */
     int outputTokens() {
         return outputTokens;
--- a/core/src/main/java/org/verbenatally/policy/Dispatcher.java
+++ b/core/src/main/java/org/verbenatally/policy/Dispatcher.java
@@ -3,10 +3,12 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
 
@@ -18,6 +20,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.core.Trait;
 import org.verbenatally.time.TimerService;
 
 /**
@@ -25,6 +28,12 @@
  * acquires a target from it before each attempt. Safe for use by several threads.
  */
 public final class Dispatcher implements AutoCloseable {
+    /** Retry delay of a request with a quarantined trait, which will be refused for as long as that is remembered. */
+    private static final Duration QUARANTINE_RETRY_AFTER = Duration.ofMinutes(15);
+
+    /** A request that has been generating for longer than this has nothing to do with the crash of its target. */
+    private static final Duration BEGUN_AFTER = Duration.ofSeconds(1);
+
     private static final Duration SWEEP_INTERVAL = Duration.ofMillis(20);
     /** Number of periodic sweeps for one summary of the requests in flight; their remaining lengths change slowly. */
     private static final int SWEEPS_PER_SUMMARY = 10;
@@ -34,6 +43,7 @@
     private final TimerService timer;
     private final TargetTable targets;
     private final SuspectTable suspects;
+    private final CrashReporter crashes;
     private final PolicySuite policies;
     private final HistogramLengthModel lengthModel = new HistogramLengthModel();
     private final BudgetedRetryPolicy retryPolicy = new BudgetedRetryPolicy(this::isOverloaded);
@@ -69,14 +79,20 @@
      * @param timer the timer service of the process
      * @param targets the target table of the process
      * @param suspects the suspect table of the process
+     * @param crashes exchanges reports of crashes with the other entries
      * @param failureDomain the failure domain in which this entry runs
      */
-    public Dispatcher(TimerService timer, TargetTable targets, SuspectTable suspects, FailureDomain failureDomain) {
-        this(timer, targets, suspects, failureDomain, PolicySuite.fromSystemProperty());
+    public Dispatcher(
+            TimerService timer,
+            TargetTable targets,
+            SuspectTable suspects,
+            CrashReporter crashes,
+            FailureDomain failureDomain) {
+        this(timer, targets, suspects, crashes, failureDomain, PolicySuite.fromSystemProperty());
     }
 
     /**
-     * Creates a dispatcher.
+     * Creates a dispatcher without peers.
      *
      * @param timer the timer service of the process
      * @param targets the target table of the process
@@ -90,9 +106,20 @@
             SuspectTable suspects,
             FailureDomain failureDomain,
             PolicySuite policies) {
+        this(timer, targets, suspects, CrashReporter.withoutPeers(timer), failureDomain, policies);
+    }
+
+    private Dispatcher(
+            TimerService timer,
+            TargetTable targets,
+            SuspectTable suspects,
+            CrashReporter crashes,
+            FailureDomain failureDomain,
+            PolicySuite policies) {
         this.timer = Objects.requireNonNull(timer, "timer");
         this.targets = Objects.requireNonNull(targets, "targets");
         this.suspects = Objects.requireNonNull(suspects, "suspects");
+        this.crashes = Objects.requireNonNull(crashes, "crashes");
         this.policies = Objects.requireNonNull(policies, "policies");
         this.router = new Router(timer, targets, suspects, policies, lengthModel, failureDomain);
         this.sweepSubscription = timer.every(SWEEP_INTERVAL, tick -> sweep());
@@ -136,6 +163,9 @@
         if (suspects.verdict(request.fingerprint()) == SuspectTable.Verdict.QUARANTINED) {
             return refuse(pending, Step.ADMIT, "the request crashes targets", RETRY_AFTER);
         }
+        if (!crashes.ledger().tryAdmit(request.traits())) {
+            return refuse(pending, Step.ADMIT, "requests with the same prefix crash targets", QUARANTINE_RETRY_AFTER);
+        }
         if (!targets.hasEligibleTarget(request.kind())) {
             return refuse(pending, Step.ROUTE, "no target can run this kind now", RETRY_AFTER);
         }
@@ -252,10 +282,12 @@
                     affected.stream().map(d -> d.request().fingerprint()).toList();
             suspects.recordCrash(
                     state.target().id(), fingerprints, fingerprints.size() == 1 && state.peerRequests() == 0);
+            crashes.recordCrash(state.target().id(), 0, suspectedTraits(affected), Duration.ZERO);
         }
         suspects.release(request.fingerprint(), state.target().id());
         if (end == AttemptEnd.DONE) {
             suspects.clearSuspicion(request.fingerprint());
+            crashes.recordServed(request.traits(), Duration.ofNanos(timer.nanos() - dispatched.startNanos()));
             retryPolicy.recordSuccess(organisation, state.target().id());
             if (request.kind().runsOn() == TargetType.ENGINE) {
                 lengthModel.observe(request.kind(), organisation, dispatched.outputTokens());
@@ -275,6 +307,18 @@
         dispatchQueued();
     }
 
+    /** Returns the traits of requests that a target had only just begun to serve when it crashed, or not at all. */
+    private Set<Trait> suspectedTraits(List<DispatchedRequest> affected) {
+        long now = timer.nanos();
+        Set<Trait> traits = new HashSet<>();
+        for (DispatchedRequest dispatched : affected) {
+            if (dispatched.outputTokens() == 0 || now - dispatched.firstTokenNanos() < BEGUN_AFTER.toNanos()) {
+                traits.addAll(dispatched.request().traits());
+            }
+        }
+        return traits;
+    }
+
     private void sweep() {
         if (++sweepCount % SWEEPS_PER_SUMMARY == 0) {
             router.refreshSummary();
--- a/core/src/main/java/org/verbenatally/policy/WorkRequest.java
+++ b/core/src/main/java/org/verbenatally/policy/WorkRequest.java
@@ -6,6 +6,7 @@
 import org.verbenatally.config.Kind;
 import org.verbenatally.config.Organisation;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.core.Trait;
 
 /**
  * A request for a target, made for one attempt.
@@ -41,4 +42,9 @@
         }
         excludedTargets = Set.copyOf(excludedTargets);
     }
+
+    /** Returns what the request has in common with others that are not equal to it: the start of its prompt. */
+    public Set<Trait> traits() {
+        return prefixHash == 0 ? Set.of() : Set.of(Trait.ofPrefix(prefixHash));
+    }
 }
--- a/core/src/test/java/org/verbenatally/policy/DispatcherTest.java
+++ b/core/src/test/java/org/verbenatally/policy/DispatcherTest.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 
 import net.jqwik.api.ForAll;
@@ -135,6 +136,37 @@
         assertThat(dispatcher.acquire(poison)).isCompletedExceptionally();
     }
 
+    private static WorkRequest request(long prefixHash, long number) {
+        return new WorkRequest(
+                GUIDE,
+                Fixtures.organisation("tana", 1),
+                100,
+                prefixHash,
+                new Fingerprint(number, 1),
+                DEADLINE,
+                Set.of());
+    }
+
+    /** Guards against targets that crash one after the other under requests that only begin with the same prompt. */
+    @Test
+    void requestsWithCrashingPrefixAreRefused() {
+        Dispatcher dispatcher = dispatcher("headroom", 8, 8, 10);
+        int crashes = 0;
+        for (int i = 0; i < 8; i++) {
+            CompletableFuture<InFlightRequest> sound = dispatcher.acquire(request(7, 100 + i));
+            sound.join().recordToken();
+            CompletableFuture<InFlightRequest> crashing = dispatcher.acquire(request(5, i));
+            if (!crashing.isCompletedExceptionally()) {
+                crashing.join().end(AttemptEnd.CRASHED);
+                crashes++;
+            }
+            sound.join().end(AttemptEnd.DONE);
+            timer.advance(Duration.ofSeconds(2));
+        }
+        assertThat(crashes).isLessThanOrEqualTo(5);
+        assertThat(dispatcher.acquire(request(7, 200))).isCompletedWithValueMatching(r -> r != null);
+    }
+
     /** The operations that lincheck interleaves. */
     public static class Concurrent {
         private final DispatcherTest test = new DispatcherTest();
--- a/entry/src/main/java/org/verbenatally/entry/EntryServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/EntryServer.java
@@ -30,15 +30,19 @@
 import org.verbenatally.entry.target.TargetClients;
 import org.verbenatally.order.HttpEngineControl;
 import org.verbenatally.order.OrderIssuer;
+import org.verbenatally.peer.MemberInfo;
 import org.verbenatally.peer.PeerOptions;
 import org.verbenatally.peer.PlatformInstance;
 import org.verbenatally.peer.TcpPeerNetwork;
+import org.verbenatally.policy.CrashLedger;
+import org.verbenatally.policy.CrashReporter;
 import org.verbenatally.policy.Dispatcher;
 import org.verbenatally.policy.SuspectTable;
 import org.verbenatally.policy.TargetTable;
 import org.verbenatally.settings.EntrySettings;
 import org.verbenatally.time.SystemTimerService;
 import org.verbenatally.time.TimerService;
+import org.verbenatally.wire.TraitReport;
 
 /**
  * One entry instance, the facade of this module. It runs from {@link #start} until {@link #drain} or {@link #close}.
@@ -53,13 +57,15 @@
     private final ConfigHolder<Deployment> config = new ConfigHolder<>();
     private final TargetTable targets = new TargetTable(timer);
     private final SuspectTable suspects = new SuspectTable(timer);
+    private final CrashReporter crashes =
+            new CrashReporter(new CrashLedger(timer, this::liveMembers), this::reportTraits);
     private final EntryMetrics metrics = new EntryMetrics();
     private final RequestLog log = new RequestLog();
     private final AtomicBoolean draining = new AtomicBoolean();
     private final CompletableFuture<Void> stopped = new CompletableFuture<>();
     private final Dispatcher dispatcher;
     private final AtomicBoolean closing = new AtomicBoolean();
-    private TcpPeerNetwork<Deployment> peers;
+    private volatile TcpPeerNetwork<Deployment> peers;
     private CallerServer callers;
     private StatusView status;
     private HttpEngineControl engines;
@@ -77,7 +83,24 @@
     /** Creates a server without starting it. */
     public EntryServer(EntrySettings settings) {
         this.settings = Objects.requireNonNull(settings, "settings");
-        this.dispatcher = new Dispatcher(timer, targets, suspects, new FailureDomain(settings.getFailureDomain()));
+        this.dispatcher =
+                new Dispatcher(timer, targets, suspects, crashes, new FailureDomain(settings.getFailureDomain()));
+    }
+
+    private int liveMembers() {
+        TcpPeerNetwork<Deployment> p = peers;
+        return p == null
+                ? 1
+                : (int) p.members().stream()
+                        .filter(m -> m.status() == MemberInfo.Status.LIVE)
+                        .count();
+    }
+
+    private void reportTraits(TraitReport report) {
+        TcpPeerNetwork<Deployment> p = peers;
+        if (p != null) {
+            p.reportTraits(report);
+        }
     }
 
     /**
@@ -88,7 +111,7 @@
      */
     public Ports start() {
         Context context = createTaskContext();
-        PeerBridge bridge = new PeerBridge(targets, suspects);
+        PeerBridge bridge = new PeerBridge(targets, suspects, crashes);
         peers = join(TcpPeerNetwork.start(PeerOptions.of(settings), vertx, timer, config, ConfigReader::read, bridge));
         TargetClients clients = new TargetClients(vertx);
         LoadPoller loads = new LoadPoller(clients, context, timer, config, targets, id -> peers.sendStateNow());
--- a/entry/src/main/java/org/verbenatally/entry/PeerBridge.java
+++ b/entry/src/main/java/org/verbenatally/entry/PeerBridge.java
@@ -9,6 +9,7 @@
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.key.KeyedCalls;
 import org.verbenatally.peer.PeerHandler;
+import org.verbenatally.policy.CrashReporter;
 import org.verbenatally.policy.SuspectTable;
 import org.verbenatally.policy.TargetTable;
 import org.verbenatally.wire.ForwardCall;
@@ -16,16 +17,19 @@
 import org.verbenatally.wire.KeyTransfer;
 import org.verbenatally.wire.Suspect;
 import org.verbenatally.wire.TargetLoad;
+import org.verbenatally.wire.TraitReport;
 
 /** Connects the peer network to the tables of this entry. */
 final class PeerBridge implements PeerHandler {
     private final TargetTable targets;
     private final SuspectTable suspects;
+    private final CrashReporter crashes;
     private final CompletableFuture<KeyedCalls> keyedCalls = new CompletableFuture<>();
 
-    PeerBridge(TargetTable targets, SuspectTable suspects) {
+    PeerBridge(TargetTable targets, SuspectTable suspects, CrashReporter crashes) {
         this.targets = Objects.requireNonNull(targets, "targets");
         this.suspects = Objects.requireNonNull(suspects, "suspects");
+        this.crashes = Objects.requireNonNull(crashes, "crashes");
     }
 
     /**
@@ -76,6 +80,11 @@
         suspects.mergePeerSuspects(from, reported);
     }
 
+    @Override
+    public void onTraitReports(List<TraitReport> reports) {
+        crashes.receive(reports);
+    }
+
     @Override
     public void onPeerGone(InstanceId peer) {
         targets.removePeer(peer);
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -21,6 +21,7 @@
 import org.verbenatally.peer.MemberInfo;
 import org.verbenatally.peer.TcpPeerNetwork;
 import org.verbenatally.policy.CrashLedger;
+import org.verbenatally.policy.CrashReporter;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.TraitReport;
@@ -71,11 +72,10 @@
                 codec,
                 new RetryAllowance(timer, options.retryRule(), this::liveMembers),
                 new CrashDetector(
-                        new CrashLedger(timer, this::liveMembers),
+                        new CrashReporter(new CrashLedger(timer, this::liveMembers), this::reportTraits),
                         directory,
                         timer,
                         vertx,
-                        this::reportTraits,
                         metrics),
                 new BodyMemory(),
                 metrics);
