Ask for more evidence against a trait that was served before

Change: a trait that was served before must explain five incidents, one that was never served three as before.

--- a/core/src/main/java/org/verbenatally/policy/CrashLedger.java
+++ b/core/src/main/java/org/verbenatally/policy/CrashLedger.java
@@ -22,7 +22,7 @@
 /**
  * Finds the traits that make requests crash their targets. Each crash casts suspicion on the traits of all requests
  * that its target had not clearly begun to serve; a trait is cleared of all crashes before the start of a request that
- * was served. The fewest traits that explain at least {@value #QUARANTINE_INCIDENTS} incidents each are quarantined.
+ * was served. The fewest traits that explain enough incidents each are quarantined.
  *
  * <p>Traits that occurred in just the same incidents cannot be told apart, so only requests with all of them are
  * refused; a request with some of them shows which one it is. A quarantined trait that was served before is tried again
@@ -33,7 +33,15 @@
  * threads.
  */
 public final class CrashLedger {
-    private static final int QUARANTINE_INCIDENTS = 3;
+    /** Number of incidents that a trait must explain if no request with it is known to have been served. */
+    private static final int INCIDENTS_IF_NEVER_SERVED = 3;
+
+    /**
+     * Number of incidents that a trait must explain if it was served before. Such a trait is likely to be in many
+     * requests, and so in some that run when targets die for other reasons.
+     */
+    private static final int INCIDENTS_IF_SERVED_BEFORE = 5;
+
     private static final int MAX_CRASHES = 256;
     private static final int MAX_SERVED = 4_096;
     private static final Duration LIFETIME = Duration.ofMinutes(15);
@@ -240,7 +248,7 @@
             return false;
         }
         long now = timer.nanos();
-        int failures = Math.min(culprit.incidents - QUARANTINE_INCIDENTS, MAX_DOUBLINGS);
+        int failures = Math.min(culprit.incidents - INCIDENTS_IF_SERVED_BEFORE, MAX_DOUBLINGS);
         long pause = FIRST_TRIAL.toNanos() << failures;
         long due = nextTrials.computeIfAbsent(culprit.traits, traits -> culprit.lastNanos + pause + ownTurn());
         if (due - culprit.lastNanos < pause) {
@@ -322,8 +330,9 @@
                 }
             }
         }
+        int needed = servedBefore ? INCIDENTS_IF_SERVED_BEFORE : INCIDENTS_IF_NEVER_SERVED;
         return byTrait.entrySet().stream()
-                .filter(entry -> entry.getValue().size() >= QUARANTINE_INCIDENTS)
+                .filter(entry -> entry.getValue().size() >= needed)
                 .min(Comparator.<Map.Entry<Trait, List<Incident>>>comparingInt(
                                 entry -> -entry.getValue().size())
                         .thenComparing(entry -> entry.getKey().value()))
