Refuse calls that a stopping entry may not outlive

What callers would see: a call that was taken while an entry stops breaks off at the end of drainSeconds, also one that must not repeat (LOST).

Change: from the start of a stop, calls of plain services with a deadline after its end are refused as 'stopping'. Streams go on at another entry as before.

ServiceFaultsTest.callThatMayOutliveStoppingEntryIsRefused failed before (200 for a call with a key and a deadline of 60 s, drainSeconds 20) and passes now, as does CallersContractTest.

--- a/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
+++ b/entry/src/main/java/org/verbenatally/entry/GracefulShutdown.java
@@ -55,6 +55,7 @@
      */
     void run() throws InterruptedException {
         LOG.infof("caller: stopping, %d requests are open", callers.openRequests());
+        callers.stopWithin(timeout);
         callers.keyedCalls().stopIssuing();
         peers.announceLeaving();
         TimeUnit.NANOSECONDS.sleep(LOAD_BALANCER_DELAY.toNanos());
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.function.BooleanSupplier;
+import java.util.function.LongPredicate;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.VertxException;
@@ -23,6 +24,7 @@
     private static final int UNAVAILABLE = 503;
     private static final String WORK = "/v1/work/";
     private static final String STREAMS = "/v1/streams/";
+    private static final Duration STOPPING_RETRY_AFTER = Duration.ofMillis(200);
     private static final String KEYS = "/v1/keys/";
 
     private final CallerComponents components;
@@ -31,11 +33,22 @@
     private final WorkHandler workHandler;
     private final StreamHandler streamHandler;
 
-    CallerHandler(CallerComponents components, KeyedCalls keyedCalls, Vertx vertx, BooleanSupplier acceptsNewWork) {
+    /**
+     * Creates a handler.
+     *
+     * @param acceptsNewWork whether requests other than keyed calls are accepted
+     * @param outlives whether this instance runs until a deadline on the monotonic clock, as far as is known
+     */
+    CallerHandler(
+            CallerComponents components,
+            KeyedCalls keyedCalls,
+            Vertx vertx,
+            BooleanSupplier acceptsNewWork,
+            LongPredicate outlives) {
         this.components = Objects.requireNonNull(components, "components");
         this.acceptsNewWork = Objects.requireNonNull(acceptsNewWork, "acceptsNewWork");
         this.authenticator = new Authenticator(components.config());
-        this.workHandler = new WorkHandler(components, keyedCalls, vertx);
+        this.workHandler = new WorkHandler(components, keyedCalls, vertx, outlives);
         this.streamHandler = new StreamHandler(components, vertx);
     }
 
@@ -61,6 +74,11 @@
         }
     }
 
+    static ProblemException stopping(String detail) {
+        return new ProblemException(
+                Problem.refused(UNAVAILABLE, "stopping", Step.ACCEPT, detail).withRetryAfter(STOPPING_RETRY_AFTER));
+    }
+
     private static Problem internalError() {
         return Problem.refused(INTERNAL_ERROR, "internal-error", Step.ACCEPT, "an internal error occurred")
                 .withOutcome(Outcome.UNKNOWN);
@@ -85,9 +103,7 @@
             exchange.response().putHeader("Connection", "close");
         }
         if (stopping && !isKeyed(exchange, path)) {
-            throw new ProblemException(
-                    Problem.refused(UNAVAILABLE, "stopping", Step.ACCEPT, "this entry accepts no new work")
-                            .withRetryAfter(Duration.ofMillis(200)));
+            throw stopping("this entry accepts no new work");
         }
         exchange.setOrganisation(authenticator.authenticate(exchange.request()));
         try (OrganisationLimits.Slot slot = components
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -43,6 +43,8 @@
     private final Vertx vertx;
     private final CallerComponents components;
     private final KeyedCalls keyedCalls;
+    private volatile long stopNanos;
+    private volatile boolean hasStopTime;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
     private final AtomicInteger openRequests = new AtomicInteger();
     private final IdleConnections idleConnections = new IdleConnections();
@@ -145,8 +147,8 @@
 
         @Override
         public Future<?> start() {
-            CallerHandler handler =
-                    new CallerHandler(components, keyedCalls, vertx, () -> phase.get() == Phase.SERVING);
+            CallerHandler handler = new CallerHandler(
+                    components, keyedCalls, vertx, () -> phase.get() == Phase.SERVING, CallerServer.this::outlives);
             HttpServerOptions options = httpOptions();
             tls.ifPresent(t -> t.apply(options));
             HttpServer server = vertx.createHttpServer(options);
@@ -186,6 +188,19 @@
         return components.runs().count();
     }
 
+    /**
+     * Announces that this instance stops within a time. Calls of plain services that may take longer are refused from
+     * now on, as nothing could continue them.
+     */
+    public void stopWithin(Duration time) {
+        stopNanos = components.timer().nanos() + time.toNanos();
+        hasStopTime = true;
+    }
+
+    private boolean outlives(long deadlineNanos) {
+        return !hasStopTime || stopNanos - deadlineNanos >= 0;
+    }
+
     /** Refuses new work from now on; calls with idempotency keys are still handled. */
     public void refuseNewWork() {
         phase.set(Phase.REFUSING);
--- a/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/WorkHandler.java
@@ -5,6 +5,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.UUID;
+import java.util.function.LongPredicate;
 
 import com.dynatrace.hash4j.hashing.Hashing;
 import io.vertx.core.Future;
@@ -39,11 +40,13 @@
     private final KeyedCalls keyedCalls;
     private final Vertx vertx;
     private final ServiceCalls serviceCalls;
+    private final LongPredicate outlives;
 
-    WorkHandler(CallerComponents components, KeyedCalls keyedCalls, Vertx vertx) {
+    WorkHandler(CallerComponents components, KeyedCalls keyedCalls, Vertx vertx, LongPredicate outlives) {
         this.components = Objects.requireNonNull(components, "components");
         this.keyedCalls = Objects.requireNonNull(keyedCalls, "keyedCalls");
         this.vertx = Objects.requireNonNull(vertx, "vertx");
+        this.outlives = Objects.requireNonNull(outlives, "outlives");
         this.serviceCalls = new ServiceCalls(components, vertx.getOrCreateContext());
     }
 
@@ -54,6 +57,8 @@
         startTrace(exchange, kind);
         if (kind.runsOn() == TargetType.ENGINE) {
             generate(exchange, kind, body);
+        } else if (!outlives.test(exchange.deadlineNanos(kind.deadline()))) {
+            throw CallerHandler.stopping("this entry stops before the deadline of the call");
         } else if (kind.repeatable()) {
             callIdempotent(exchange, kind, body);
         } else {
--- a/entry/src/test/java/org/verbenatally/entry/ServiceFaultsTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/ServiceFaultsTest.java
@@ -76,6 +76,23 @@
         }
     }
 
+    /** Guards against a call that is taken while the entry stops, and cut off at the end of its grace period. */
+    @Test
+    void callThatMayOutliveStoppingEntryIsRefused() {
+        String key = new JsonObject(entry.call("POST", "/v1/keys/book", "").body()).getString("key");
+        entry.server.drain();
+        EntryFixture.await(() -> entry.call("POST", "/v1/work/check", "{}", "Deadline-Ms", "60000")
+                        .statusCode()
+                == 503);
+
+        HttpResponse<String> keyed =
+                entry.call("POST", "/v1/work/book", "{}", "Idempotency-Key", key, "Deadline-Ms", "60000");
+        HttpResponse<String> inTime = entry.call("POST", "/v1/work/check", "{}", "Deadline-Ms", "1000");
+
+        assertThat(keyed.statusCode()).as(keyed.body()).isEqualTo(503);
+        assertThat(inTime.statusCode()).as(inTime.body()).isEqualTo(200);
+    }
+
     /** Guards against a call that is abandoned, or reported as unknown, although no connection was made. */
     @Test
     void callThatWasNeverSentIsNotRun() {
