Give services that do not state the call a new connection for each one

Tracing it showed a fault of: a connection that must not be kept was closed after the response, when another call may already have got it from the pool.

Change: a connection of the pool is used only for services whose last response stated its call, and none is closed. The tests make calls until a connection is used again, check each result, and check the number of connections exactly.

ServiceClientTest and ServiceFaultsTest pass.

--- a/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
@@ -2,6 +2,8 @@
 
 import java.time.Duration;
 import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.buffer.Buffer;
@@ -10,6 +12,7 @@
 import io.vertx.core.http.HttpMethod;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.KindName;
+import org.verbenatally.core.TargetId;
 
 /** Client of plain services. Methods wait and must run in a virtual-thread task. */
 public final class ServiceClient {
@@ -19,6 +22,9 @@
     private static final String CALL_ID = "Call-Id";
     private static final int UNAVAILABLE = 503;
 
+    /** Targets whose last response stated its call. */
+    private final Set<TargetId> statingTargets = ConcurrentHashMap.newKeySet();
+
     private final TargetHttpClient http;
 
     /**
@@ -38,8 +44,8 @@
      *
      * @param target the service to call
      * @param kind kind of work
-     * @param callId id of the call, which the target states in its response; the connection of a response without it is
-     *     not kept, since a copy of such a response could not be told from that of a later call
+     * @param callId id of the call, which the target states in its response; a target that does not gets a new
+     *     connection for each call, since a copy of an earlier response could not be told from the response to the call
      * @param body the request body, JSON that is passed through unchanged
      * @param newConnection whether a new connection must be opened
      * @param timeout maximum time until the response is complete
@@ -56,7 +62,7 @@
             BooleanSupplier maySend)
             throws TargetFailure {
         String uri = "/v1/calls/" + kind.value();
-        HttpClientRequest request = newConnection
+        HttpClientRequest request = newConnection || !statingTargets.contains(target.id())
                 ? http.connect(target, HttpMethod.POST, uri)
                 : http.connectPooled(target, HttpMethod.POST, uri);
         if (!maySend.getAsBoolean()) {
@@ -77,7 +83,9 @@
         Duration remaining = timeout.minusNanos(System.nanoTime() - start);
         Buffer responseBody = http.readBody(target, request, response, MAX_RESPONSE_BYTES, remaining);
         if (statedId == null) {
-            request.connection().close();
+            statingTargets.remove(target.id());
+        } else {
+            statingTargets.add(target.id());
         }
         if (response.statusCode() == UNAVAILABLE) {
             throw Refusals.parse(target.id(), responseBody);
--- a/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
@@ -7,11 +7,12 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Function;
+import java.util.function.BiFunction;
 
 import io.vertx.core.DeploymentOptions;
 import io.vertx.core.Future;
@@ -32,6 +33,8 @@
 
 /** Calls to a service whose responses are written byte by byte. */
 class ServiceClientTest {
+    private static final int MAX_CALLS = 100;
+
     private final Vertx vertx = Vertx.vertx();
     private final ServiceClient client = new TargetClients(vertx).services();
     private final AtomicInteger connections = new AtomicInteger();
@@ -47,8 +50,16 @@
         return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    /** Starts a service that writes, on each connection, what the script returns for the number of a request there. */
-    private Target service(Function<Integer, String> script) throws IOException {
+    private static String callId(String request) {
+        return request.lines()
+                .filter(line -> line.regionMatches(true, 0, "Call-Id: ", 0, 9))
+                .map(line -> line.substring(9))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    /** Starts a service that writes what the script returns for the id of a call and its number on its connection. */
+    private Target service(BiFunction<String, Integer, String> script) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
         Thread.ofVirtual().start(() -> {
             while (!server.isClosed()) {
@@ -74,7 +85,7 @@
                 false);
     }
 
-    private static void serve(Socket socket, Function<Integer, String> script) {
+    private static void serve(Socket socket, BiFunction<String, Integer, String> script) {
         try (socket) {
             InputStream in = socket.getInputStream();
             for (int i = 0; ; i++) {
@@ -86,7 +97,8 @@
                     }
                     request.append((char) next);
                 }
-                socket.getOutputStream().write(script.apply(i).getBytes(StandardCharsets.UTF_8));
+                socket.getOutputStream()
+                        .write(script.apply(callId(request.toString()), i).getBytes(StandardCharsets.UTF_8));
             }
         } catch (IOException e) {
             // The client has closed the connection.
@@ -120,30 +132,43 @@
         return result.get(10, TimeUnit.SECONDS);
     }
 
+    /** Makes calls until one has been made on a connection that was used before; returns the results in order. */
+    private List<String> callUntilConnectionIsReused(Target target) throws Exception {
+        List<String> results = new ArrayList<>();
+        while (results.size() == connections.get() && results.size() < MAX_CALLS) {
+            results.add(call(target, "c" + results.size()));
+        }
+        assertThat(connections).as("connections for %d calls", results.size()).hasValue(results.size() - 1);
+        return results;
+    }
+
     /** Guards against a refusal of an earlier call that makes a running one count as not run. */
     @Test
     void copyOfRefusalIsIgnored() throws Exception {
-        Target target = service(i -> response(503, i == 0 ? "Call-Id: c0\r\n" : "", "{\"reason\":\"full\"}"));
-        assertThat(call(target, "c0")).isEqualTo("FULL");
-        assertThat(call(target, "c1")).isEqualTo("BAD_ANSWER");
-        assertThat(connections).hasValue(1);
+        Target target =
+                service((id, i) -> response(503, i == 0 ? "Call-Id: " + id + "\r\n" : "", "{\"reason\":\"full\"}"));
+        List<String> results = callUntilConnectionIsReused(target);
+        assertThat(results.removeLast()).isEqualTo("BAD_ANSWER");
+        assertThat(results).containsOnly("FULL");
     }
 
     /** Guards against a response that is handed to the caller of another call. */
     @Test
     void copyOfResponseIsIgnored() throws Exception {
-        Target target = service(i -> response(200, "Call-Id: c0\r\n", "answer to c0"));
-        assertThat(call(target, "c0")).isEqualTo("answer to c0");
-        assertThat(call(target, "c1")).isEqualTo("BAD_ANSWER");
-        assertThat(connections).hasValue(1);
+        Target target = service((id, i) ->
+                response(200, "Call-Id: " + (i == 0 ? id : "c-earlier") + "\r\n", i == 0 ? id : "c-earlier"));
+        List<String> results = callUntilConnectionIsReused(target);
+        assertThat(results.removeLast()).isEqualTo("BAD_ANSWER");
+        assertThat(results).startsWith("c0").doesNotContain("BAD_ANSWER");
     }
 
     /** Guards against services that do not state the call of a response and are no longer usable, or not safely. */
     @Test
-    void connectionIsNotKeptIfServiceDoesNotStateTheCall() throws Exception {
-        Target target = service(i -> response(200, "", "answer " + i));
-        assertThat(call(target, "c0")).isEqualTo("answer 0");
-        assertThat(call(target, "c1")).isEqualTo("answer 0");
-        assertThat(connections).hasValue(2);
+    void serviceThatDoesNotStateTheCallGetsNewConnections() throws Exception {
+        Target target = service((id, i) -> response(200, "", "answer " + i));
+        for (int i = 1; i <= 10; i++) {
+            assertThat(call(target, "c" + i)).isEqualTo("answer 0");
+            assertThat(connections).hasValue(i);
+        }
     }
 }
