--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -43,14 +43,15 @@
     private final AtomicReference<ForwardDeployment> deployment = new AtomicReference<>();
 
     ForwardFixture() throws IOException {
-        callers = unusedAddress();
+        List<Address> addresses = unusedAddresses(3);
+        callers = addresses.get(0);
         server = new ForwardServer(
                 new ForwardOptions(
                         callers,
-                        unusedAddress(),
+                        addresses.get(1),
                         "/ready",
                         Optional.empty(),
-                        peers(),
+                        peers(addresses.get(2)),
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
                         rule()),
@@ -64,8 +65,7 @@
         return new RetryAllowance.Rule(0.2, Duration.ofSeconds(10), 50);
     }
 
-    private static PeerOptions peers() throws IOException {
-        Address address = unusedAddress();
+    private static PeerOptions peers(Address address) {
         return new PeerOptions(
                 new InstanceId("one"),
                 new FailureDomain("here"),
@@ -81,9 +81,20 @@
                 PeerTimings.standard().dividedBy(20));
     }
 
-    private static Address unusedAddress() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new Address(socket.getInetAddress().getHostAddress(), socket.getLocalPort());
+    /** Returns different addresses on which nothing listens; Vert.x lets two listeners share one address. */
+    private static List<Address> unusedAddresses(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            while (sockets.size() < count) {
+                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+            }
+            return sockets.stream()
+                    .map(s -> new Address(s.getInetAddress().getHostAddress(), s.getLocalPort()))
+                    .toList();
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
         }
     }
 
