--- a/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
+++ b/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
@@ -73,7 +73,7 @@
                                 trait.isPromptPart() && !reporter.ledger().isServed(trait));
     }
 
-    /** Returns whether a generation has been running for long enough at its target not to crash it any more. */
+    /** Returns whether a target has been generating for a request for so long that the request cannot crash it. */
     boolean hasBegun(InFlightRequest inFlight) {
         return inFlight.generatingFor(timer.nanos())
                 .filter(time -> time.compareTo(BEGUN_AFTER) >= 0)
