Leave a generation at an engine that is silent for a second

Callers saw: a stream that was cut off (end of the connection before its last event) although its engine went on. Cause: an engine that sent no event for five event gap objectives (0.9 s at an objective of 180 ms) was taken for dead. The exchange with it was cancelled before another engine had accepted the generation. If the engine with the backup refused, or if it was the second such silence, nothing was left to continue from. The class of fault is an irreversible step on suspicion: silence is no proof of death, and the old exchange was given up before the new one stood. Evidence: SilentTargetTest on the code before: 3 of 4 failed with "EOF reached while reading" at the caller, after one silence of 1.3 s with a refused backup, and after two with backups. Change: after five objectives the engine is checked with a connection. One that accepts none is left at once; one that does is left after 2 s, since open connections can be lost without a reset. In both cases the present exchange is cancelled only once another engine continues the generation. Result: SilentTargetTest 4 of 4; ForwardServerTest, EndlessResponseTest, CrashDetectorTest, CrashingPartTest and DuplicateResponseTest pass.

--- a/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
+++ b/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
@@ -6,9 +6,6 @@
 import java.util.Objects;
 import java.util.Set;
 
-import io.vertx.core.Vertx;
-import io.vertx.core.net.NetClient;
-import io.vertx.core.net.NetClientOptions;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Trait;
@@ -24,9 +21,6 @@
  */
 final class CrashDetector {
     private static final Logger LOG = Logger.getLogger(CrashDetector.class);
-    /** A listening process accepts a connection within a round trip; one that died refuses it or does not respond. */
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(500);
-
     /**
      * A request makes its target crash as soon as the target begins to serve it; one that has been generating for
      * longer than this has nothing to do with a crash.
@@ -36,20 +30,20 @@
     private final CrashReporter reporter;
     private final TargetDirectory directory;
     private final TimerService timer;
-    private final NetClient probes;
+    private final TargetProbe probe;
     private final ForwardMetrics metrics;
 
     CrashDetector(
             CrashReporter reporter,
             TargetDirectory directory,
             TimerService timer,
-            Vertx vertx,
+            TargetProbe probe,
             ForwardMetrics metrics) {
         this.reporter = Objects.requireNonNull(reporter, "reporter");
         this.directory = Objects.requireNonNull(directory, "directory");
         this.timer = Objects.requireNonNull(timer, "timer");
         this.metrics = Objects.requireNonNull(metrics, "metrics");
-        this.probes = vertx.createNetClient(new NetClientOptions().setConnectTimeout((int) CONNECT_TIMEOUT.toMillis()));
+        this.probe = Objects.requireNonNull(probe, "probe");
     }
 
     /** Returns whether an accepted request may be sent to a target; see {@link CrashLedger#tryAdmit}. */
@@ -104,12 +98,7 @@
         List<InFlightRequest> suspected = state.inFlightRequests().stream()
                 .filter(inFlight -> !hasBegun(inFlight))
                 .toList();
-        probes.connect(target.address().port(), target.address().host())
-                .onSuccess(socket -> {
-                    socket.close();
-                    state.onListening();
-                })
-                .onFailure(e -> onCrash(target, suspected, lostAt, e));
+        probe.check(target).onSuccess(v -> state.onListening()).onFailure(e -> onCrash(target, suspected, lostAt, e));
     }
 
     private void onCrash(ForwardTarget target, List<InFlightRequest> suspected, long lostAt, Throwable reason) {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
@@ -13,6 +13,7 @@
  * @param codec translates heads
  * @param retryAllowance limits retries
  * @param crashDetector finds requests that crash their targets
+ * @param probe checks whether targets accept connections
  * @param bodyMemory limits the memory of request bodies
  * @param metrics counters
  */
@@ -25,5 +26,6 @@
         HttpMessageCodec codec,
         RetryAllowance retryAllowance,
         CrashDetector crashDetector,
+        TargetProbe probe,
         BodyMemory bodyMemory,
         ForwardMetrics metrics) {}
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -63,6 +63,7 @@
         this.timer = Objects.requireNonNull(timer, "timer");
         this.directory = new TargetDirectory(timer, this::publishToPeers, this::reportLoadsChanged);
         this.shutdown = new Shutdown(timer, options.grace());
+        TargetProbe probe = new TargetProbe(vertx);
         this.components = new ForwardComponents(
                 timer,
                 directory,
@@ -75,8 +76,9 @@
                         new CrashReporter(new CrashLedger(timer, this::liveMembers), this::reportTraits),
                         directory,
                         timer,
-                        vertx,
+                        probe,
                         metrics),
+                probe,
                 new BodyMemory(),
                 metrics);
         directory.onChange(components.waitQueue()::wake);
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -88,7 +88,27 @@
         if (!hasUsableBackup(segment.inFlight())) {
             return continueFromMigration(segment);
         }
-        TargetState backup = segment.inFlight().backup();
+        return tryBackup(segment.inFlight());
+    }
+
+    /**
+     * Continues at the engine that keeps the backup while a silent engine may still run the generation; empty if that
+     * is not possible, or if the generation itself may have been the cause.
+     *
+     * @param dead whether the silent engine no longer accepts connections
+     */
+    Optional<StreamSegment> continueFromSilent(StreamSegment segment, boolean dead) {
+        losses += dead ? 1 : 0;
+        if (losses >= MAX_LOSSES || components.crashDetector().mayHaveCrashed(segment.inFlight())) {
+            refusedBackup = segment.inFlight().backup();
+            return Optional.empty();
+        }
+        return tryBackup(segment.inFlight());
+    }
+
+    /** Continues from the backup, which is not tried again if that is not possible. */
+    private Optional<StreamSegment> tryBackup(InFlightRequest inFlight) {
+        TargetState backup = inFlight.backup();
         Optional<StreamSegment> next = continueFromBackup(backup);
         if (next.isEmpty()) {
             refusedBackup = backup;
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -22,12 +22,6 @@
 final class StreamRun {
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
 
-    /**
-     * Silence timeout, in event gap objectives. A generation without an event for this long continues at another
-     * engine, because its engine is dead or heavily overloaded.
-     */
-    private static final int SILENCE_TIMEOUT_GAPS = 5;
-
     private static final Duration MIN_REMAINING = Duration.ofMillis(20);
     /** Event gap objective of routes that do not configure one. */
     private static final Duration DEFAULT_EVENT_GAP_OBJECTIVE = Duration.ofMillis(500);
@@ -41,6 +35,7 @@
     private final StreamMigration migration;
     private final StreamSender sender;
     private final StreamContinuation continuation;
+    private final SilenceMonitor silence;
     private final Set<TargetId> tried = new HashSet<>();
     private final EventSplitter events = new EventSplitter();
     private AdmissionRank rank = AdmissionRank.NORMAL;
@@ -48,18 +43,14 @@
     private long chunksForwarded;
     private long firstChunkNanos;
     private long lastChunkNanos;
-    /**
-     * Monotonic time, in nanoseconds, at which the engine started its response or its last complete event was passed
-     * on.
-     */
-    private long lastProgressNanos;
-
     private long longestGapNanos;
     private StreamSegment segment;
 
     private enum End {
         COMPLETE,
         BROKEN,
+        STALLED,
+        DEAD,
         LEAVING,
         CALLER_LEFT,
         DEADLINE
@@ -81,6 +72,11 @@
         this.sender = new StreamSender(
                 components, request, generation, caller, () -> context.runOnContext(v -> signalReader()));
         this.continuation = new StreamContinuation(components, request, caller, events, sender, migration);
+        this.silence = new SilenceMonitor(
+                components.timer(),
+                components.probe(),
+                request.route().eventGapObjective().orElse(DEFAULT_EVENT_GAP_OBJECTIVE),
+                () -> context.runOnContext(v -> signalReader()));
     }
 
     /** Runs the generation to its end and returns the outcome that logs and metrics report. */
@@ -219,11 +215,8 @@
                     segment.close(false);
                     return fail("deadline");
                 }
-                case LEAVING ->
-                    continuation.continueFromLeaving(segment).ifPresent(next -> {
-                        segment.close(false);
-                        continueWith(next);
-                    });
+                case STALLED, DEAD -> replaceSegment(continuation.continueFromSilent(segment, end == End.DEAD));
+                case LEAVING -> replaceSegment(continuation.continueFromLeaving(segment));
                 case BROKEN -> {
                     segment.targetState().onUnreachable(components.timer().nanos());
                     components.crashDetector().onConnectionLost(segment.targetState());
@@ -240,16 +233,24 @@
         }
     }
 
+    /** Continues with the response of another engine; without one, the present engine keeps the generation. */
+    private void replaceSegment(Optional<StreamSegment> next) {
+        if (next.isPresent()) {
+            segment.close(false);
+            continueWith(next.get());
+        } else {
+            // The attempt to continue has replaced the action that cancels the present exchange.
+            caller.onGone(segment.attempt()::cancel);
+        }
+    }
+
     /** Continues with the response of an engine. */
     private void continueWith(StreamSegment next) {
         segment = next;
-        lastProgressNanos = components.timer().nanos();
+        silence.onProgress();
     }
 
     private End forwardSegment() {
-        Duration eventGapObjective = request.route().eventGapObjective().orElse(DEFAULT_EVENT_GAP_OBJECTIVE);
-        long silenceTimeout =
-                eventGapObjective.multipliedBy(SILENCE_TIMEOUT_GAPS).toNanos();
         while (true) {
             if (caller.isGone()) {
                 return End.CALLER_LEFT;
@@ -262,10 +263,15 @@
                 return End.DEADLINE;
             }
             boolean monitored = chunksForwarded > 0 && continuation.hasUsableBackup(segment.inFlight());
-            Duration untilSilent = Duration.ofNanos(
-                    Math.max(0, silenceTimeout - (components.timer().nanos() - lastProgressNanos)));
+            if (monitored) {
+                Optional<End> silent = checkSilence();
+                if (silent.isPresent()) {
+                    return silent.get();
+                }
+            }
+            Duration untilVerdict = monitored ? silence.untilNextVerdict() : remaining;
             ResponseBodyReader.Item item =
-                    segment.reader().next(monitored && untilSilent.compareTo(remaining) < 0 ? untilSilent : remaining);
+                    segment.reader().next(untilVerdict.compareTo(remaining) < 0 ? untilVerdict : remaining);
             switch (item) {
                 case ResponseBodyReader.Piece chunk -> {
                     try {
@@ -297,14 +303,31 @@
                 case ResponseBodyReader.Signal s ->
                     LOG.debugf("stream: wait of request %s was interrupted", request.id());
             }
-            // Bytes that do not complete an event are no sign that the engine makes progress.
-            if (monitored && components.timer().nanos() - lastProgressNanos >= silenceTimeout) {
-                logBroken("silent");
-                return End.BROKEN;
-            }
         }
     }
 
+    /** Returns how the segment ends if its engine has been silent for too long. */
+    private Optional<End> checkSilence() {
+        TargetState state = segment.targetState();
+        SilenceMonitor.Verdict verdict = silence.verdict(state.target());
+        if (verdict == SilenceMonitor.Verdict.SERVING) {
+            return Optional.empty();
+        }
+        LogEvent.of("stream.silent")
+                .request(request.id())
+                .with("target", state.target().id())
+                .with("verdict", verdict)
+                .with("ms", silence.silence().toMillis())
+                .with("pieces", chunksForwarded)
+                .info(LOG);
+        if (verdict == SilenceMonitor.Verdict.STALLED) {
+            return Optional.of(End.STALLED);
+        }
+        state.onUnreachable(components.timer().nanos());
+        components.crashDetector().onConnectionLost(state);
+        return Optional.of(End.DEAD);
+    }
+
     private void logBroken(String reason) {
         LogEvent.of("stream.broken")
                 .request(request.id())
@@ -330,8 +353,8 @@
                 components.crashDetector().onServed(inFlight);
             }
             caller.write(complete);
-            // The time that a slow caller takes to read must not count towards the engine's silence.
-            lastProgressNanos = components.timer().nanos();
+            // Bytes without a complete event are no progress; the time that a slow caller takes to read is no silence.
+            silence.onProgress();
         }
     }
 
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -41,8 +41,15 @@
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<ForwardTarget> targets = new ArrayList<>();
     private final AtomicReference<ForwardDeployment> deployment = new AtomicReference<>();
+    private final Duration timeout;
 
     ForwardFixture() throws IOException {
+        this(TIMEOUT);
+    }
+
+    /** Starts an instance; {@code timeout} is that of its routes. */
+    ForwardFixture(Duration timeout) throws IOException {
+        this.timeout = timeout;
         List<Address> addresses = unusedAddresses(3);
         callers = addresses.get(0);
         server = new ForwardServer(
@@ -129,7 +136,7 @@
                 callers.host(),
                 "/" + name + "/",
                 retrySafety,
-                TIMEOUT,
+                timeout,
                 Duration.ofMillis(200),
                 0,
                 List.of(new Route.Share(service, 1)),
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -0,0 +1,168 @@
+package org.verbenatally.forward;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.ENGINES;
+
+/** Sound engines that send nothing for a while, and dead ones whose connections stay open. */
+class SilentTargetTest {
+    private static final int OK = 200;
+    /** Longer than five event gap objectives of the fixture's route. */
+    private static final Duration PAUSE = Duration.ofMillis(1_300);
+
+    /** Longer than any pause of a sound engine. */
+    private static final Duration LONG_PAUSE = Duration.ofMillis(3_500);
+
+    private static final int LAST_EVENT = 6;
+
+    private final AtomicInteger continuations = new AtomicInteger();
+    private ForwardFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardFixture(Duration.ofSeconds(10));
+        fixture.configure(1);
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    private static String head(String request, String more) {
+        String id = RawTarget.header(request, TestCodec.ID);
+        return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\n" + more + "\r\n";
+    }
+
+    private static String event(int number) {
+        return "id: " + number + "\ndata: t" + number + "\n\n";
+    }
+
+    private static String events(int first, int last) {
+        StringBuilder text = new StringBuilder();
+        for (int number = first; number <= last; number++) {
+            text.append(event(number));
+        }
+        return text.toString();
+    }
+
+    private static void writeEvent(OutputStream out, int number) throws IOException {
+        String event = event(number);
+        RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
+    }
+
+    /** Returns an engine that pauses before its third event, and completes every generation. */
+    private static RawTarget.Script pausing(Duration pause) {
+        return (request, out, socket) -> {
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            for (int number = 1; number <= LAST_EVENT; number++) {
+                Thread.sleep(number == 3 ? pause.toMillis() : 0);
+                writeEvent(out, number);
+            }
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        };
+    }
+
+    /** Returns an engine that has no copy of any generation. */
+    private RawTarget.Script refusing() {
+        return (request, out, socket) -> {
+            continuations.incrementAndGet();
+            String id = RawTarget.header(request, TestCodec.ID);
+            RawTarget.write(
+                    out, "HTTP/1.1 503 Full\r\nTest-Id: " + id + "\r\nTest-Not-Run: yes\r\nContent-Length: 0\r\n\r\n");
+            return true;
+        };
+    }
+
+    private HttpResponse<String> generate(String id) throws Exception {
+        HttpRequest request = fixture.request("/stream/x", id)
+                .setHeader(TestCodec.CALLER_TIMEOUT, "10000")
+                .header(TestCodec.TOKENS, "1000")
+                .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+                .build();
+        return fixture.sendLater(request).get(20, TimeUnit.SECONDS);
+    }
+
+    private void expectComplete(RawTarget.Script engineScript, RawTarget.Script holderScript) throws Exception {
+        try (var engine = new RawTarget(engineScript);
+                var holder = new RawTarget(holderScript)) {
+            fixture.publish("engine", ENGINES, engine);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            HttpResponse<String> response = generate("r1");
+            assertThat(response.statusCode()).isEqualTo(OK);
+            assertThat(response.body()).isEqualTo(events(1, LAST_EVENT));
+        }
+    }
+
+    /** Guards against cutting off a generation whose engine was silent for long and whose backup was refused. */
+    @Test
+    void silentEngineKeepsGenerationThatBackupRefuses() throws Exception {
+        expectComplete(pausing(LONG_PAUSE), refusing());
+        assertThat(continuations).as("sends to the engine with the backup").hasValue(1);
+    }
+
+    /** Guards against taking a generation from a sound engine that is silent for a second. */
+    @Test
+    void generationStaysAtEngineThatIsSilentForASecond() throws Exception {
+        expectComplete(pausing(PAUSE), refusing());
+        assertThat(continuations).as("sends to the engine with the backup").hasValue(0);
+    }
+
+    /** Guards against cutting off a generation because two engines in a row were silent for a second. */
+    @Test
+    void secondSilenceDoesNotEndGeneration() throws Exception {
+        RawTarget.Script pausingOnce = (request, out, socket) -> {
+            String last = RawTarget.header(request, TestCodec.LAST_EVENT);
+            int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            for (int number = first; number <= LAST_EVENT; number++) {
+                Thread.sleep(number == first + 1 ? PAUSE.toMillis() : 0);
+                writeEvent(out, number);
+            }
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        };
+        try (var third = new RawTarget(pausingOnce)) {
+            fixture.publish("third", ENGINES, third, 20_000);
+            expectComplete(pausingOnce, pausingOnce);
+        }
+    }
+
+    /** Guards against a generation that stays at a dead engine whose open connections were not reset. */
+    @Test
+    void generationLeavesSilentEngineThatNoLongerListens() throws Exception {
+        RawTarget[] dead = new RawTarget[1];
+        RawTarget.Script dying = (request, out, socket) -> {
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            writeEvent(out, 1);
+            dead[0].close();
+            Thread.sleep(100_000);
+            return false;
+        };
+        try (var holder = new RawTarget((request, out, socket) -> {
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            for (int number = 2; number <= LAST_EVENT; number++) {
+                writeEvent(out, number);
+            }
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        })) {
+            dead[0] = new RawTarget(dying);
+            fixture.publish("engine", ENGINES, dead[0]);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            assertThat(generate("r1").body()).isEqualTo(events(1, LAST_EVENT));
+        }
+    }
+}
