Respond to a request that fails with an internal error

Callers saw: a connection that was closed without a response or a refusal, although the request had been read whole. Cause: any unexpected exception while a request was handled closed the caller's connection, and an Error left it open without a response. Evidence: ForwardHandlerTest on the code before: internalErrorBeforeSendIsRefused and internalErrorAfterSendIsAnswered failed with "EOF reached while reading". Change: a request that fails before it was accepted is refused (503: it has not run); after that its caller gets 502. Headers of a target that were copied already are discarded. Only a response that has started is broken off. Result: both pass.

--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.vertx.core.Future;
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
@@ -175,10 +176,19 @@
         respond(status);
     }
 
+    /** Discards the head of a target's response that was copied, in part perhaps, and not passed on yet. */
+    void discardHead() {
+        if (!response.headWritten()) {
+            response.headers().clear();
+            response.setChunked(false);
+        }
+    }
+
     /** Responds with a status of this instance and no body. */
     void respond(int status) {
         if (!gone && !response.headWritten()) {
             response.setStatusCode(status);
+            response.setStatusMessage(HttpResponseStatus.valueOf(status).reasonPhrase());
             end(Buffer.buffer());
         }
     }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -72,17 +72,16 @@
         long start = components.timer().nanos();
         shutdown.onRequestStart();
         CallerExchange caller = new CallerExchange(context.owner(), request, shutdown::isStopping);
+        boolean accepted = false;
         try {
-            forward(caller, start);
+            ForwardedRequest forwarded = accept(caller, start);
+            accepted = true;
+            run(forwarded, caller, start);
         } catch (Rejected e) {
             reject(caller, e);
-        } catch (Exception e) {
+        } catch (Throwable e) {
             // The exchange with the caller fails with undeclared checked exceptions when its connection is lost.
-            if (!caller.isGone()) {
-                components.metrics().countDecision("internal error");
-                LOG.errorf(e, "forward: request %s failed with an internal error", caller.requestId());
-            }
-            caller.abort();
+            onInternalError(caller, accepted, e);
         } finally {
             reportAbort(caller, start);
             caller.release();
@@ -90,6 +89,23 @@
         }
     }
 
+    /** Responds to a request that could not be handled; a target may have run it only if it was accepted. */
+    private void onInternalError(CallerExchange caller, boolean accepted, Throwable e) {
+        if (caller.isGone()) {
+            return;
+        }
+        components.metrics().countDecision("internal error");
+        LOG.errorf(e, "forward: request %s failed with an internal error", caller.requestId());
+        caller.discardHead();
+        if (caller.isStarted()) {
+            caller.abort();
+        } else if (accepted) {
+            caller.respond(CallerExchange.BAD_GATEWAY);
+        } else {
+            caller.refuse(CallerExchange.UNAVAILABLE, RETRY_AFTER);
+        }
+    }
+
     /** Logs and counts a response that this instance has broken off, whatever the reason. */
     private void reportAbort(CallerExchange caller, long start) {
         if (!caller.isAborted()) {
@@ -120,8 +136,7 @@
         }
     }
 
-    private void forward(CallerExchange caller, long start) throws Rejected {
-        ForwardedRequest forwarded = accept(caller, start);
+    private void run(ForwardedRequest forwarded, CallerExchange caller, long start) {
         boolean generates = forwarded.route().retrySafety() == RetrySafety.GENERATION
                 && forwarded.service().engine().isPresent();
         String outcome = generates
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -49,6 +49,10 @@
 
     /** Starts an instance; {@code timeout} is that of its routes. */
     ForwardFixture(Duration timeout) throws IOException {
+        this(timeout, new TestCodec());
+    }
+
+    ForwardFixture(Duration timeout, HttpMessageCodec codec) throws IOException {
         this.timeout = timeout;
         List<Address> addresses = unusedAddresses(3);
         callers = addresses.get(0);
@@ -64,7 +68,7 @@
                         rule()),
                 vertx,
                 new SystemTimerService(),
-                new TestCodec());
+                codec);
         server.start((source, body) -> deployment.get());
     }
 
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -0,0 +1,90 @@
+package org.verbenatally.forward;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.function.UnaryOperator;
+
+import io.vertx.core.MultiMap;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.HttpServerRequest;
+import org.junit.jupiter.api.Test;
+import org.verbenatally.core.Address;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
+
+class ForwardHandlerTest {
+
+    /** A codec that fails at one step, as if there was a fault in the program. */
+    private record FailingCodec(HttpMessageCodec codec, String failingStep) implements HttpMessageCodec {
+        private void failAt(String step) {
+            if (step.equals(failingStep)) {
+                throw new IllegalStateException("fault at " + step);
+            }
+        }
+
+        @Override
+        public RequestHead read(HttpServerRequest request) {
+            failAt("request");
+            return codec.read(request);
+        }
+
+        @Override
+        public void write(ForwardingMetadata metadata, MultiMap headers) {
+            codec.write(metadata, headers);
+        }
+
+        @Override
+        public ResponseHead read(HttpClientResponse response) {
+            failAt("response");
+            return codec.read(response);
+        }
+
+        @Override
+        public CopyRequest copyRequest(String requestId, Address destination) {
+            return codec.copyRequest(requestId, destination);
+        }
+
+        @Override
+        public java.util.Optional<String> readCopyResponse(int status, Buffer body) {
+            return codec.readCopyResponse(status, body);
+        }
+    }
+
+    private static RawTarget target(String moreHeaders) throws Exception {
+        return new RawTarget((head, out, socket) -> {
+            RawTarget.write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nTest-Id: " + RawTarget.header(head, TestCodec.ID) + "\r\nTest-Signed: yes\r\n"
+                            + moreHeaders + "Content-Length: 4\r\n\r\nbody");
+            return true;
+        });
+    }
+
+    private static HttpResponse<String> send(UnaryOperator<HttpMessageCodec> codec, String timeoutMs) throws Exception {
+        try (var fixture = new ForwardFixture(Duration.ofSeconds(3), codec.apply(new TestCodec()));
+                var target = target("")) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            return fixture.send(fixture.request("/once/x", "r1")
+                    .setHeader(TestCodec.CALLER_TIMEOUT, timeoutMs)
+                    .build());
+        }
+    }
+
+    /** Guards against closing the caller's connection on an internal error before the request was sent to a target. */
+    @Test
+    void internalErrorBeforeSendIsRefused() throws Exception {
+        assertThat(send(codec -> new FailingCodec(codec, "request"), "3000").statusCode())
+                .isEqualTo(503);
+    }
+
+    /** Guards against closing the caller's connection on an internal error after the request was sent to a target. */
+    @Test
+    void internalErrorAfterSendIsAnswered() throws Exception {
+        HttpResponse<String> response = send(codec -> new FailingCodec(codec, "response"), "3000");
+        assertThat(response.statusCode()).isEqualTo(502);
+        assertThat(response.headers().firstValue(TestCodec.SIGNED)).isEmpty();
+    }
+}
