Bound the timeout that a caller states

Callers saw: a connection that was closed without a response if the stated timeout was longer than 292 years. Cause: the timeout was converted to nanoseconds, which overflowed (ArithmeticException: long overflow). Evidence: ForwardHandlerTest.requestWithHugeTimeoutIsServed on the code before: "EOF reached while reading"; with responses to internal errors: 503. Result: the test passes.

--- a/forward/src/main/java/org/verbenatally/forward/RequestHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/RequestHead.java
@@ -27,11 +27,15 @@
         Optional<Generation> generation,
         List<PromptPartId> sharedParts) {
 
+    /** Longest timeout that is counted; a longer one is treated as this one, so that deadlines cannot overflow. */
+    static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
+
     /** Checks that id, host, path and parts are not {@code null}. */
     public RequestHead {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(host, "host");
         Objects.requireNonNull(path, "path");
+        callerTimeout = callerTimeout.map(t -> t.compareTo(MAX_CALLER_TIMEOUT) > 0 ? MAX_CALLER_TIMEOUT : t);
         sharedParts = List.copyOf(sharedParts);
     }
 }
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -73,6 +73,13 @@
         }
     }
 
+    /** Guards against closing the connection of a caller whose timeout is too large for the clock. */
+    @Test
+    void requestWithHugeTimeoutIsServed() throws Exception {
+        assertThat(send(codec -> codec, Long.toString(Long.MAX_VALUE)).statusCode())
+                .isEqualTo(200);
+    }
+
     /** Guards against closing the caller's connection on an internal error before the request was sent to a target. */
     @Test
     void internalErrorBeforeSendIsRefused() throws Exception {
