Show that work ends for a caller who left a silent engine

When a backup is refused, the engine that keeps the generation must again be the one that is cancelled when the caller leaves. SilentTargetTest.callerThatLeavesEndsWorkAtSilentEngine fails (TimeoutException) without the line that does it.

--- a/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -1,10 +1,12 @@
 package org.verbenatally.forward;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
@@ -86,13 +88,16 @@
         };
     }
 
-    private HttpResponse<String> generate(String id) throws Exception {
-        HttpRequest request = fixture.request("/stream/x", id)
+    private HttpRequest request(String id) {
+        return fixture.request("/stream/x", id)
                 .setHeader(TestCodec.CALLER_TIMEOUT, "10000")
                 .header(TestCodec.TOKENS, "1000")
                 .POST(HttpRequest.BodyPublishers.ofString("prompt"))
                 .build();
-        return fixture.sendLater(request).get(20, TimeUnit.SECONDS);
+    }
+
+    private HttpResponse<String> generate(String id) throws Exception {
+        return fixture.sendLater(request(id)).get(20, TimeUnit.SECONDS);
     }
 
     private void expectComplete(RawTarget.Script engineScript, RawTarget.Script holderScript) throws Exception {
@@ -165,4 +170,35 @@
             assertThat(generate("r1").body()).isEqualTo(events(1, LAST_EVENT));
         }
     }
+
+    /** Guards against work that goes on for a caller who left after the backup had been refused. */
+    @Test
+    void callerThatLeavesEndsWorkAtSilentEngine() throws Exception {
+        CompletableFuture<Void> refused = new CompletableFuture<>();
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        RawTarget.Script silent = (request, out, socket) -> {
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            writeEvent(out, 1);
+            if (socket.getInputStream().read() < 0) {
+                cancelled.complete(null);
+            }
+            return false;
+        };
+        RawTarget.Script refusing = (request, out, socket) -> {
+            boolean kept = refusing().respond(request, out, socket);
+            refused.complete(null);
+            return kept;
+        };
+        try (var engine = new RawTarget(silent);
+                var holder = new RawTarget(refusing)) {
+            fixture.publish("engine", ENGINES, engine);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            HttpResponse<InputStream> response = fixture.open(request("r1"));
+            refused.get(10, TimeUnit.SECONDS);
+            // The refusal is handled before the caller leaves.
+            Thread.sleep(200);
+            response.body().close();
+            cancelled.get(2, TimeUnit.SECONDS);
+        }
+    }
 }
