Keep the connection of a caller who waits for longer than the idle timeout

Callers saw: a connection that was closed without a response if the response took longer than 120 s and nothing was sent meanwhile. Cause: the idle timeout of the HTTP server counts the time without bytes, also while a request is open. The class of fault is the same as with silent engines: silence is taken for the end. Evidence: IdleConnectionsTest.connectionWithOpenRequestIsKept, with the timeout made an option, failed with "EOF reached while reading". Change: the entry's IdleConnections, which counts open requests, moves to the core and serves both programs. The server no longer waits for the first bytes of a connection to learn its protocol, so that silent connections are known too (without that, IdleConnectionsTest.idleConnectionIsClosed failed). Result: both tests pass; ForwardServerTest, GracefulStopTest and ForwardProtocolTest too.

--- /dev/null
+++ b/core/src/main/java/org/verbenatally/http/package-info.java
@@ -0,0 +1,2 @@
+/** What the servers for callers have in common. */
+package org.verbenatally.http;
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -24,6 +24,7 @@
 import org.verbenatally.entry.operator.RequestLog;
 import org.verbenatally.entry.target.LoadPoller;
 import org.verbenatally.entry.target.TargetClients;
+import org.verbenatally.http.IdleConnections;
 import org.verbenatally.peer.PeerNetwork;
 import org.verbenatally.policy.Dispatcher;
 import org.verbenatally.policy.SuspectTable;
@@ -39,6 +40,7 @@
     private static final int MAX_HEADER_BYTES = 8_192;
     private static final Duration TLS_CHECK_PERIOD = Duration.ofSeconds(10);
     private static final int MAX_REQUEST_LINE_BYTES = 4_096;
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(75);
 
     private final Vertx vertx;
     private final CallerComponents components;
@@ -47,7 +49,7 @@
     private volatile boolean hasStopTime;
     private final AtomicReference<Phase> phase = new AtomicReference<>(Phase.SERVING);
     private final AtomicInteger openRequests = new AtomicInteger();
-    private final IdleConnections idleConnections = new IdleConnections();
+    private final IdleConnections idleConnections;
     private volatile int port;
 
     private enum Phase {
@@ -89,6 +91,7 @@
             EntryMetrics metrics,
             RequestLog log) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
+        this.idleConnections = new IdleConnections(timer, IDLE_TIMEOUT);
         this.components = new CallerComponents(
                 timer,
                 config,
@@ -110,7 +113,7 @@
                 "verbenatally.open.generations", () -> components.runs().count());
         metrics.registerGauge("verbenatally.used.keys", () -> keyedCalls.store().usedKeyCount());
         metrics.registerGauge("verbenatally.connections", idleConnections::count);
-        timer.every(Duration.ofSeconds(5), tick -> idleConnections.closeIdle());
+        idleConnections.start();
         timer.every(
                 Duration.ofMinutes(1),
                 tick -> config.deployment()
--- a/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
@@ -15,6 +15,7 @@
  * @param readinessPath path of that check
  * @param metricsAddress address at which metrics are served; empty if they are not served
  * @param peers options of the peer network
+ * @param idleTimeout time after which a caller's connection that carries no request is closed
  * @param grace time between the request to stop and the end of the process
  * @param drain time within which a leaving target must get no new work
  * @param retryRule limit of retries
@@ -25,6 +26,7 @@
         String readinessPath,
         Optional<Address> metricsAddress,
         PeerOptions peers,
+        Duration idleTimeout,
         Duration grace,
         Duration drain,
         RetryAllowance.Rule retryRule) {
@@ -36,6 +38,7 @@
         Objects.requireNonNull(readinessPath, "readinessPath");
         Objects.requireNonNull(metricsAddress, "metricsAddress");
         Objects.requireNonNull(peers, "peers");
+        Objects.requireNonNull(idleTimeout, "idleTimeout");
         Objects.requireNonNull(grace, "grace");
         Objects.requireNonNull(drain, "drain");
         Objects.requireNonNull(retryRule, "retryRule");
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -18,6 +18,7 @@
 import org.verbenatally.config.ConfigHolder;
 import org.verbenatally.config.DocumentReader;
 import org.verbenatally.core.LogEvent;
+import org.verbenatally.http.IdleConnections;
 import org.verbenatally.peer.MemberInfo;
 import org.verbenatally.peer.TcpPeerNetwork;
 import org.verbenatally.policy.CrashLedger;
@@ -34,9 +35,6 @@
     private static final Logger LOG = Logger.getLogger(ForwardServer.class);
     private static final long START_TIMEOUT_SECONDS = 20;
     private static final int MAX_HEADER_BYTES = 32_768;
-    /** Connections without a request for longer than this are closed; the limits of configurations are shorter. */
-    private static final int IDLE_SECONDS = 120;
-
     private static final int OK = 200;
 
     private final ForwardOptions options;
@@ -46,6 +44,7 @@
     private final TargetDirectory directory;
     private final ForwardMetrics metrics = new ForwardMetrics();
     private final Shutdown shutdown;
+    private final IdleConnections connections;
     private final ForwardComponents components;
     private volatile TcpPeerNetwork<ForwardDeployment> peers;
 
@@ -63,6 +62,7 @@
         this.timer = Objects.requireNonNull(timer, "timer");
         this.directory = new TargetDirectory(timer, this::publishToPeers, this::reportLoadsChanged);
         this.shutdown = new Shutdown(timer, options.grace());
+        this.connections = new IdleConnections(timer, options.idleTimeout());
         TargetProbe probe = new TargetProbe(vertx);
         this.components = new ForwardComponents(
                 timer,
@@ -89,6 +89,7 @@
         metrics.registerGauge(
                 "verbenatally.body.bytes", () -> components.bodyMemory().reserved());
         metrics.registerGauge("verbenatally.members", this::liveMembers);
+        metrics.registerGauge("verbenatally.connections", connections::count);
     }
 
     private void publishToPeers(List<PublishedTarget> targets) {
@@ -134,6 +135,7 @@
                 CallerVerticle::new, new DeploymentOptions().setThreadingModel(ThreadingModel.VIRTUAL_THREAD)));
         await(vertx.deployVerticle(
                 ReadinessVerticle::new, new DeploymentOptions().setThreadingModel(ThreadingModel.EVENT_LOOP)));
+        connections.start();
         peers = join(TcpPeerNetwork.start(
                 options.peers(),
                 vertx,
@@ -220,15 +222,23 @@
             ForwardHandler handler = new ForwardHandler(components, config::deployment, shutdown, ownContext);
             return vertx.createHttpServer(new HttpServerOptions()
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
-                            .setIdleTimeout(IDLE_SECONDS)
                             .setHandle100ContinueAutomatically(true)
                             .setTcpNoDelay(true)
+                            // A server that waits for the first bytes to learn the protocol does not report silent
+                            // connections, which could then never be closed.
+                            .setHttp2ClearTextEnabled(false)
                             // Leaves out the handlers that inspect each message for WebSocket extensions.
                             .setPerFrameWebSocketCompressionSupported(false)
                             .setPerMessageWebSocketCompressionSupported(false))
+                    .connectionHandler(connections::onOpened)
                     .requestHandler(request -> {
                         request.pause();
-                        handler.handle(request);
+                        connections.onRequestStart(request.connection());
+                        try {
+                            handler.handle(request);
+                        } finally {
+                            connections.onRequestEnd(request.connection());
+                        }
                     })
                     .listen(
                             options.callerAddress().port(),
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -33,6 +33,7 @@
 final class ForwardFixture implements AutoCloseable {
     static final ServiceName CALLS = new ServiceName("calls");
     static final ServiceName ENGINES = new ServiceName("engines");
+    static final Duration IDLE_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     final Vertx vertx = Vertx.vertx();
@@ -63,6 +64,7 @@
                         "/ready",
                         Optional.empty(),
                         peers(addresses.get(2)),
+                        IDLE_TIMEOUT,
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
                         rule()),
--- /dev/null
+++ b/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
@@ -0,0 +1,55 @@
+package org.verbenatally.forward;
+
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
+import static org.verbenatally.forward.ForwardFixture.IDLE_TIMEOUT;
+
+class IdleConnectionsTest {
+    private ForwardFixture fixture;
+
+    @BeforeEach
+    void start() throws Exception {
+        fixture = new ForwardFixture(IDLE_TIMEOUT.multipliedBy(10));
+        fixture.configure(1);
+    }
+
+    @AfterEach
+    void stop() {
+        fixture.close();
+    }
+
+    /** Guards against closing the connection of a caller who waits for a response for longer than the idle timeout. */
+    @Test
+    void connectionWithOpenRequestIsKept() throws Exception {
+        Duration work = IDLE_TIMEOUT.multipliedBy(3);
+        try (var target = new RawTarget((head, out, socket) -> {
+            Thread.sleep(work.toMillis());
+            RawTarget.write(
+                    out,
+                    "HTTP/1.1 200 OK\r\nTest-Id: " + RawTarget.header(head, TestCodec.ID)
+                            + "\r\nTest-Signed: yes\r\nContent-Length: 4\r\n\r\nbody");
+            return true;
+        })) {
+            fixture.publish("a", CALLS, target);
+            HttpResponse<String> response = fixture.send(fixture.request("/once/x", "r1")
+                    .setHeader(TestCodec.CALLER_TIMEOUT, Long.toString(work.toMillis() * 2))
+                    .build());
+            assertThat(response.body()).isEqualTo("body");
+        }
+    }
+
+    /** Guards against connections that callers leave open for good. */
+    @Test
+    void idleConnectionIsClosed() throws Exception {
+        try (var caller = new RawCaller(fixture.callers)) {
+            assertThat(caller.read("(never)")).isEmpty();
+        }
+    }
+}
