Wait for a silent target if there is no other one to try

Callers saw: 502 for a repeatable call after twice the objective of its route, although its target was about to respond and much of the timeout was left. Cause: the wait for a response was shortened for the sake of a retry, whether or not another target or a retry was available. It is the same class of fault as with silent engines: the exchange was given up before its replacement stood. Evidence: SilentTargetTest.repeatableCallWaitsForTheOnlyTarget on the code before: 502 instead of 200. Change: the wait is shortened only while another target can be chosen and the retry allowance permits a retry. Result: SilentTargetTest, RetryAllowanceTest, ForwardServerTest and TargetChooserTest pass.

--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -10,6 +10,7 @@
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
+import org.verbenatally.core.ServiceName;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
@@ -113,10 +114,14 @@
         }
     }
 
+    /** Returns how long to wait for a response; a silent target is given up early only for the sake of another one. */
     private Duration responseTimeout(Duration remaining) {
-        boolean hasAnotherRun = request.route().retrySafety() == RetrySafety.IDEMPOTENT
-                && runs + 1 < request.route().maxAttempts();
-        if (!hasAnotherRun) {
+        ServiceName service = request.service().name();
+        boolean hasAlternative = request.route().retrySafety() == RetrySafety.IDEMPOTENT
+                && runs + 1 < request.route().maxAttempts()
+                && components.chooser().hasTarget(service, tried)
+                && components.retryAllowance().allowsRetry(service);
+        if (!hasAlternative) {
             return remaining;
         }
         Duration objectiveTimeout = request.route().objective().multipliedBy(RESPONSE_TIMEOUT_OBJECTIVES);
--- a/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -15,9 +15,10 @@
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.forward.ForwardFixture.CALLS;
 import static org.verbenatally.forward.ForwardFixture.ENGINES;
 
-/** Sound engines that send nothing for a while, and dead ones whose connections stay open. */
+/** Sound targets that send nothing for a while, and dead ones whose connections stay open. */
 class SilentTargetTest {
     private static final int OK = 200;
     /** Longer than five event gap objectives of the fixture's route. */
@@ -201,4 +202,20 @@
             cancelled.get(2, TimeUnit.SECONDS);
         }
     }
+
+    /** Guards against giving up on a silent target though there is no other one to try. */
+    @Test
+    void repeatableCallWaitsForTheOnlyTarget() throws Exception {
+        try (var target = new RawTarget((request, out, socket) -> {
+            Thread.sleep(PAUSE.toMillis());
+            RawTarget.write(out, head(request, "Content-Length: 4\r\n") + "body");
+            return true;
+        })) {
+            fixture.publish("target", CALLS, target);
+            HttpResponse<String> response =
+                    fixture.send(fixture.request("/repeat/x", "r1").build());
+            assertThat(response.statusCode()).isEqualTo(OK);
+            assertThat(target.requests()).hasSize(1);
+        }
+    }
 }
