Answer requests to the entry that fail with an error of the JVM

Callers saw: a connection that stayed open without a response, and a call with an idempotency key whose result was never known, if an error such as an exhausted stack or heap ended the task that handled it. Cause: only exceptions were caught. Evidence: InternalErrorTest on the code before: requestIsAnswered failed with "request timed out", and resultOfKeyedCallIsCompleted with a TimeoutException. Change: errors are caught as well. Result: both tests pass.

--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -64,7 +64,7 @@
         } catch (VertxException e) {
             LOG.debugf("caller: request %s ended with its connection: %s", exchange.id(), e.getMessage());
             fail(exchange, internalError());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             LOG.errorf(e, "caller: request %s failed with an internal error", exchange.id());
             fail(exchange, internalError());
         } catch (Exception e) {
--- a/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/ServiceCalls.java
@@ -92,7 +92,7 @@
         context.runOnContext(v -> {
             try {
                 result.complete(runOnce(call));
-            } catch (Exception e) {
+            } catch (Throwable e) {
                 // Future.await throws checked exceptions without declaring them, and the result must always complete.
                 LOG.errorf(e, "key: request %s failed with an internal error", call.request());
                 result.complete(failedResult(Outcome.UNKNOWN, Step.SEND, "entry", "internal error"));
