Limit the memory of buffered responses

Callers saw: in a trial with a heap of 64 MB, 160 responses of 250 KB at a time hung, and so did later requests to the instance: neither a response nor a refusal. Cause: each response of up to 256 KB is buffered whole before it is passed on, without a limit for all of them together. Change: buffered responses share a quarter of the heap; a response beyond it is passed on as it arrives, like one that is too long. The trial was not repeated.

--- a/forward/src/main/java/org/verbenatally/forward/BodyMemory.java
+++ b/forward/src/main/java/org/verbenatally/forward/BodyMemory.java
@@ -3,11 +3,11 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Limits the memory that the bodies of all open requests take together. A request keeps its body until the request
- * ends, because it may be sent again. Safe for use by several threads.
+ * Limits the memory that the bodies of all open requests, or of their buffered responses, take together. A request
+ * keeps its body until it ends, because it may be sent again. Safe for use by several threads.
  */
 final class BodyMemory {
-    /** A quarter of the heap: the other parts of an instance need about half of it. */
+    /** A quarter of the heap each for requests and responses: the other parts of an instance need about half of it. */
     private static final long DEFAULT_BYTES = Runtime.getRuntime().maxMemory() / 4;
 
     private final long limit;
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -18,7 +18,8 @@
 
 /**
  * Forwards one request to a plain service. The response is buffered until it is complete, then passed on unchanged. A
- * response that is too long to be buffered is passed on as it arrives, and is not replaced by that of another target.
+ * response that is too long to be buffered, or for which there is no memory, is passed on as it arrives, and is not
+ * replaced by that of another target.
  */
 final class CallRun {
     private static final Logger LOG = Logger.getLogger(CallRun.class);
@@ -51,6 +52,8 @@
     private int runs;
     private Attempt failure;
     private Buffer failureBody;
+    /** Memory reserved for responses that are kept, in bytes. */
+    private int reservedBytes;
 
     CallRun(ForwardComponents components, ForwardedRequest request, CallerExchange caller) {
         this.components = Objects.requireNonNull(components, "components");
@@ -60,6 +63,14 @@
 
     /** Runs the request to its end and returns the outcome that logs and metrics report. */
     String run() {
+        try {
+            return sendUntilAnswered();
+        } finally {
+            components.responseMemory().release(reservedBytes);
+        }
+    }
+
+    private String sendUntilAnswered() {
         while (!caller.isGone()) {
             Duration remaining = request.remaining(components.timer().nanos());
             if (remaining.compareTo(MIN_REMAINING) < 0) {
@@ -179,7 +190,7 @@
         return Optional.of(head.isSuccess() ? "served" : "target failed");
     }
 
-    /** Reads a response to its end, or until it is too long to be buffered; returns whether it has ended. */
+    /** Reads a response to its end, or until it cannot be buffered any longer; returns whether it has ended. */
     private boolean buffer(Attempt attempt, ResponseBodyReader reader, Buffer body) {
         while (body.length() <= MAX_BUFFERED_BYTES) {
             Optional<Buffer> chunk = nextChunk(attempt, reader);
@@ -187,6 +198,10 @@
                 return true;
             }
             body.appendBuffer(chunk.get());
+            if (!components.responseMemory().reserve(chunk.get().length())) {
+                return false;
+            }
+            reservedBytes += chunk.get().length();
         }
         return false;
     }
@@ -210,7 +225,7 @@
     }
 
     /**
-     * Passes on a response that is too long to be buffered. If it breaks off, the caller's connection is closed, so
+     * Passes on a response that cannot be buffered. If it breaks off, the caller's connection is closed, so
      * that the caller does not take what it has received for complete.
      */
     private String passThrough(Attempt attempt, InFlightRequest inFlight, ResponseBodyReader reader, Buffer buffered) {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
@@ -15,6 +15,7 @@
  * @param crashDetector finds requests that crash their targets
  * @param probe checks whether targets accept connections
  * @param bodyMemory limits the memory of request bodies
+ * @param responseMemory limits the memory of buffered responses
  * @param metrics counters
  */
 record ForwardComponents(
@@ -28,4 +29,5 @@
         CrashDetector crashDetector,
         TargetProbe probe,
         BodyMemory bodyMemory,
+        BodyMemory responseMemory,
         ForwardMetrics metrics) {}
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -57,6 +57,15 @@
      * @param codec translates the heads of messages
      */
     public ForwardServer(ForwardOptions options, Vertx vertx, TimerService timer, HttpMessageCodec codec) {
+        this(options, vertx, timer, codec, new BodyMemory());
+    }
+
+    ForwardServer(
+            ForwardOptions options,
+            Vertx vertx,
+            TimerService timer,
+            HttpMessageCodec codec,
+            BodyMemory responseMemory) {
         this.options = Objects.requireNonNull(options, "options");
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.timer = Objects.requireNonNull(timer, "timer");
@@ -80,6 +89,7 @@
                         metrics),
                 probe,
                 new BodyMemory(),
+                responseMemory,
                 metrics);
         directory.onChange(components.waitQueue()::wake);
         metrics.registerGauge("verbenatally.open.requests", shutdown::openRequests);
@@ -88,6 +98,7 @@
                 "verbenatally.waiting", () -> components.waitQueue().size());
         metrics.registerGauge(
                 "verbenatally.body.bytes", () -> components.bodyMemory().reserved());
+        metrics.registerGauge("verbenatally.response.bytes", responseMemory::reserved);
         metrics.registerGauge("verbenatally.members", this::liveMembers);
         metrics.registerGauge("verbenatally.connections", connections::count);
     }
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -54,6 +54,10 @@
     }
 
     ForwardFixture(Duration timeout, HttpMessageCodec codec) throws IOException {
+        this(timeout, codec, new BodyMemory());
+    }
+
+    ForwardFixture(Duration timeout, HttpMessageCodec codec, BodyMemory responseMemory) throws IOException {
         this.timeout = timeout;
         List<Address> addresses = unusedAddresses(3);
         callers = addresses.get(0);
@@ -70,7 +74,8 @@
                         rule()),
                 vertx,
                 new SystemTimerService(),
-                codec);
+                codec,
+                responseMemory);
         server.start((source, body) -> deployment.get());
     }
 
