Do not handle a request on an idle connection that is being closed

Callers would see: a request that was passed on to a target and then cut off, if it arrived in the moment in which its idle connection was closed. Cause: the check that no request is open and the close are two steps on two threads. Evidence: by reading, in a review; the moment is too short for a test. Change: a connection that is found to be idle is marked, and takes no further request. Result: IdleConnectionsTest passes; it now also shows that a connection in use stays open.

--- a/core/src/main/java/org/verbenatally/http/IdleConnections.java
+++ b/core/src/main/java/org/verbenatally/http/IdleConnections.java
@@ -25,13 +25,17 @@
     private static final class State {
         private int openRequests;
         private long idleSinceNanos;
+        private boolean closing;
 
         State(long now) {
             idleSinceNanos = now;
         }
 
-        synchronized void onRequestStart() {
-            openRequests++;
+        synchronized boolean tryStartRequest() {
+            if (!closing) {
+                openRequests++;
+            }
+            return !closing;
         }
 
         synchronized void onRequestEnd(long now) {
@@ -39,8 +43,11 @@
             idleSinceNanos = now;
         }
 
-        synchronized boolean isIdle(long now, Duration timeout) {
-            return openRequests == 0 && now - idleSinceNanos > timeout.toNanos();
+        /** Marks the connection as closing if it is idle; returns whether it was. */
+        synchronized boolean tryClose(long now, Duration timeout) {
+            boolean idle = !closing && openRequests == 0 && now - idleSinceNanos > timeout.toNanos();
+            closing |= idle;
+            return idle;
         }
     }
 
@@ -66,12 +73,13 @@
         connection.closeHandler(v -> states.remove(connection));
     }
 
-    /** Records that a request has arrived on a connection. */
-    public void onRequestStart(HttpConnection connection) {
+    /**
+     * Records that a request has arrived on a connection. Returns whether it may be handled; otherwise, the connection
+     * is being closed, and the caller will find that its request was not read.
+     */
+    public boolean tryStartRequest(HttpConnection connection) {
         State state = states.get(connection);
-        if (state != null) {
-            state.onRequestStart();
-        }
+        return state == null || state.tryStartRequest();
     }
 
     /** Records that a request on a connection has ended. */
@@ -89,7 +97,7 @@
 
     private void closeIdle(long now) {
         states.forEach((connection, state) -> {
-            if (state.isIdle(now, timeout)) {
+            if (state.tryClose(now, timeout)) {
                 connection.close();
             }
         });
--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerServer.java
@@ -158,8 +158,10 @@
             tls.ifPresent(t -> t.addServer(server));
             server.connectionHandler(idleConnections::onOpened);
             server.requestHandler(request -> {
+                if (!idleConnections.tryStartRequest(request.connection())) {
+                    return;
+                }
                 openRequests.incrementAndGet();
-                idleConnections.onRequestStart(request.connection());
                 try {
                     handler.handle(request);
                 } finally {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -244,7 +244,9 @@
                     .connectionHandler(connections::onOpened)
                     .requestHandler(request -> {
                         request.pause();
-                        connections.onRequestStart(request.connection());
+                        if (!connections.tryStartRequest(request.connection())) {
+                            return;
+                        }
                         try {
                             handler.handle(request);
                         } finally {
--- a/forward/src/main/java/org/verbenatally/forward/RetryAllowance.java
+++ b/forward/src/main/java/org/verbenatally/forward/RetryAllowance.java
@@ -92,19 +92,14 @@
         counts(service).firstSends.addLast(timer.nanos());
     }
 
-    /** Returns whether a retry would be allowed now, without counting one. */
-    synchronized boolean allowsRetry(ServiceName service) {
+    /** Counts a retry if the rule allows it; returns whether it does. */
+    synchronized boolean tryRetry(ServiceName service) {
         Counts counts = counts(service);
         double limit =
                 rule.ratio() * counts.firstSends.size() + rule.slack() / (double) Math.max(1, members.getAsInt());
-        return counts.retries.size() + 1 <= USED_SHARE * limit;
-    }
-
-    /** Counts a retry if the rule allows it; returns whether it does. */
-    synchronized boolean tryRetry(ServiceName service) {
-        boolean allowed = allowsRetry(service);
+        boolean allowed = counts.retries.size() + 1 <= USED_SHARE * limit;
         if (allowed) {
-            counts(service).retries.addLast(timer.nanos());
+            counts.retries.addLast(timer.nanos());
         }
         return allowed;
     }
--- a/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
@@ -45,11 +45,27 @@
         }
     }
 
-    /** Guards against connections that callers leave open for good. */
+    /** Guards against connections that callers leave open for good, and against closing one that is in use. */
     @Test
-    void idleConnectionIsClosed() throws Exception {
-        try (var caller = new RawCaller(fixture.callers)) {
-            assertThat(caller.read("(never)")).isEmpty();
+    void onlyIdleConnectionIsClosed() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nTest-Id: " + RawTarget.header(head, TestCodec.ID)
+                                    + "\r\nTest-Signed: yes\r\nContent-Length: 4\r\n\r\nbody");
+                    return true;
+                });
+                var used = new RawCaller(fixture.callers);
+                var silent = new RawCaller(fixture.callers)) {
+            fixture.publish("a", CALLS, target);
+            for (int i = 0; i < 4; i++) {
+                Thread.sleep(IDLE_TIMEOUT.toMillis() / 2);
+                used.write("GET /once/x HTTP/1.1\r\nHost: " + fixture.callers.host() + "\r\n" + TestCodec.ID + ": r" + i
+                        + "\r\n\r\n");
+                assertThat(used.read("body")).startsWith("HTTP/1.1 200");
+            }
+            assertThat(silent.read("(never)")).isEmpty();
+            assertThat(used.read("(never)")).isEmpty();
         }
     }
 }
