Give up a silent target only once its replacement stands

Two engines could work on one generation for up to 1.5 s. A lost packet counted as the death of an engine, a backup that did not respond as one that does not exist, and the wait of a call was shortened for a retry that others might take first. Evidence: SilentTargetTest on: backupIsTriedAgainWhenTheEngineDies failed at the caller with an IOException in the middle of the chunked response, repeatableCallsWaitForSilentTargetsBeyondTheRetryAllowance with responses other than 200; the other seven passed. Change: only a refused connection proves that an engine has died; one that does not respond is left after 2 s. A backup is tried again unless its engine says that it has none. The engine that goes on first keeps the generation, and a stalled engine and its replacement overlap by 0.35 s at most. A call takes its retry and chooses its target before it gives up the silent one. Generations at an engine share its check. secondSilenceDoesNotEndGeneration has longer silences now, which do lead to another engine. Result: SilentTargetTest (9), SilenceMonitorTest and TargetProbeTest pass.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -1,10 +1,11 @@
 package org.verbenatally.forward;
 
-import java.time.Duration;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
 
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
+import io.vertx.core.http.StreamResetException;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
@@ -33,10 +34,11 @@
      *
      * @param components components of this instance
      * @param request the request
-     * @param caller its caller; the send is cancelled when the caller leaves
+     * @param caller its caller
      * @param state state of the target
      * @param metadata what is added to the request
-     * @param limit longest wait for the head
+     * @param timeout how long to wait for the head
+     * @param onSent receives the action that cancels the exchange, as soon as the request is being sent
      * @throws StepException with outcome {@code NOT_RUN} if nothing was sent, {@code UNKNOWN} if the target may run it
      */
     static Attempt start(
@@ -45,7 +47,8 @@
             CallerExchange caller,
             TargetState state,
             ForwardingMetadata metadata,
-            Duration limit) {
+            ResponseTimeout timeout,
+            Consumer<Runnable> onSent) {
         ForwardTarget target = state.target();
         HttpClientRequest clientRequest;
         try {
@@ -56,7 +59,7 @@
                             target.address(),
                             caller.request().method(),
                             caller.request().uri(),
-                            limit);
+                            timeout.limit());
         } catch (StepException e) {
             state.onUnreachable(components.timer().nanos());
             throw e;
@@ -66,11 +69,32 @@
             String reason = caller.isGone() ? "caller has left" : "target began to leave";
             throw new StepException(Step.SEND, target.id().value(), Outcome.NOT_RUN, reason);
         }
+        try {
+            return send(components, request, caller, state, clientRequest, metadata, timeout, onSent);
+        } catch (StepException e) {
+            boolean cancelled = caller.isGone() || e.getCause() instanceof StreamResetException;
+            if (!cancelled && !(e.getCause() instanceof TimeoutException)) {
+                state.onUnreachable(components.timer().nanos());
+                components.crashDetector().onConnectionLost(state);
+            }
+            throw e;
+        }
+    }
+
+    private static Attempt send(
+            ForwardComponents components,
+            ForwardedRequest request,
+            CallerExchange caller,
+            TargetState state,
+            HttpClientRequest clientRequest,
+            ForwardingMetadata metadata,
+            ResponseTimeout timeout,
+            Consumer<Runnable> onSent) {
         Headers.copyEndToEnd(caller.request().headers(), clientRequest.headers());
         components.codec().write(metadata, clientRequest.headers());
         LogEvent.of("request.sent")
                 .request(request.id())
-                .with("target", target.id())
+                .with("target", state.target().id())
                 .with("leftMs", metadata.remaining().toMillis())
                 .with("ownRequests", state.ownRequests())
                 .with("peerRequests", state.peerRequests())
@@ -79,18 +103,8 @@
                 .with("continues", metadata.continuation().isPresent())
                 .info(LOG);
         boolean reused = components.client().isReused(clientRequest);
-        try {
-            HttpClientResponse response =
-                    components.client().send(clientRequest, request.body(), limit, caller::onGone);
-            return new Attempt(
-                    state, clientRequest, response, components.codec().read(response), reused);
-        } catch (StepException e) {
-            if (!caller.isGone() && !(e.getCause() instanceof TimeoutException)) {
-                state.onUnreachable(components.timer().nanos());
-                components.crashDetector().onConnectionLost(state);
-            }
-            throw e;
-        }
+        HttpClientResponse response = components.client().send(clientRequest, request.body(), timeout, onSent);
+        return new Attempt(state, clientRequest, response, components.codec().read(response), reused);
     }
 
     /**
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -52,6 +52,8 @@
     private int runs;
     private Attempt failure;
     private Buffer failureBody;
+    /** Target that was chosen for the next send, with a retry acquired, while the present one is silent. */
+    private TargetState alternative;
     /** Memory reserved for responses that are kept, in bytes. */
     private int reservedBytes;
 
@@ -76,8 +78,10 @@
             if (remaining.compareTo(MIN_REMAINING) < 0) {
                 return endUnserved(CallerExchange.GATEWAY_TIMEOUT, "deadline");
             }
-            Optional<TargetState> state =
-                    components.chooser().chooseTarget(request.service().name(), tried);
+            Optional<TargetState> chosen = Optional.ofNullable(alternative);
+            alternative = null;
+            Optional<TargetState> state = chosen.or(
+                    () -> components.chooser().chooseTarget(request.service().name(), tried));
             if (state.isEmpty() && sends == 0 && ++rounds < MAX_ROUNDS) {
                 tried.clear();
                 TimedAwait.sleep(caller.owner(), ROUND_PAUSE);
@@ -86,7 +90,8 @@
             if (state.isEmpty()) {
                 return endUnserved(CallerExchange.BAD_GATEWAY, "no target");
             }
-            if (!components.retryAllowance().tryAcquire(request.service().name(), sends)) {
+            if (chosen.isEmpty()
+                    && !components.retryAllowance().tryAcquire(request.service().name(), sends)) {
                 return endUnserved(CallerExchange.BAD_GATEWAY, "no repeat allowed");
             }
             Optional<String> outcome = attempt(state.get(), remaining);
@@ -116,7 +121,8 @@
                     request.organisation(),
                     Optional.empty(),
                     Optional.empty());
-            Attempt attempt = Attempt.start(components, request, caller, state, metadata, responseTimeout(remaining));
+            Attempt attempt = Attempt.start(
+                    components, request, caller, state, metadata, responseTimeout(remaining), caller::onGone);
             return onResponse(attempt, inFlight);
         } catch (StepException e) {
             return onFailure(state, e);
@@ -126,18 +132,28 @@
     }
 
     /** Returns how long to wait for a response; a silent target is given up early only for the sake of another one. */
-    private Duration responseTimeout(Duration remaining) {
-        ServiceName service = request.service().name();
-        boolean hasAlternative = request.route().retrySafety() == RetrySafety.IDEMPOTENT
-                && runs + 1 < request.route().maxAttempts()
-                && components.chooser().hasTarget(service, tried)
-                && components.retryAllowance().allowsRetry(service);
-        if (!hasAlternative) {
-            return remaining;
+    private ResponseTimeout responseTimeout(Duration remaining) {
+        boolean hasAnotherRun = request.route().retrySafety() == RetrySafety.IDEMPOTENT
+                && runs + 1 < request.route().maxAttempts();
+        if (!hasAnotherRun) {
+            return ResponseTimeout.of(remaining);
         }
         Duration objectiveTimeout = request.route().objective().multipliedBy(RESPONSE_TIMEOUT_OBJECTIVES);
         Duration half = remaining.dividedBy(2);
-        return objectiveTimeout.compareTo(half) < 0 ? objectiveTimeout : half;
+        Duration early = objectiveTimeout.compareTo(half) < 0 ? objectiveTimeout : half;
+        return new ResponseTimeout(early, remaining, this::reserveAlternative);
+    }
+
+    /** Chooses another target and acquires a retry there; returns whether that was possible. */
+    private boolean reserveAlternative() {
+        ServiceName service = request.service().name();
+        alternative = components
+                .chooser()
+                .chooseTarget(service, tried)
+                .filter(state -> !state.isSuspended(components.timer().nanos()))
+                .filter(state -> components.retryAllowance().tryAcquire(service, sends))
+                .orElse(null);
+        return alternative != null;
     }
 
     private Optional<String> onFailure(TargetState state, StepException e) {
--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -268,7 +268,7 @@
 
     /** Breaks the response off by closing the connection, so that the caller does not take it for complete. */
     void abort() {
-        if (!gone) {
+        if (!gone && !response.ended()) {
             gone = true;
             aborted = true;
             request.connection().close();
--- a/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
+++ b/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
@@ -50,6 +50,11 @@
         return complete;
     }
 
+    /** Returns whether a chunk holds the end of an event, as far as the chunk alone can tell. */
+    static boolean endsEvent(Buffer chunk) {
+        return endOfLastEvent(chunk, 0) > 0;
+    }
+
     /**
      * Returns the index after the last event, 0 if none is complete. An event ends with an empty line; lines end with
      * LF or CRLF.
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -72,7 +72,7 @@
         this.directory = new TargetDirectory(timer, this::publishToPeers, this::reportLoadsChanged);
         this.shutdown = new Shutdown(timer, options.grace());
         this.connections = new IdleConnections(timer, options.idleTimeout());
-        TargetProbe probe = new TargetProbe(vertx);
+        TargetProbe probe = new TargetProbe(vertx, timer);
         this.components = new ForwardComponents(
                 timer,
                 directory,
--- a/forward/src/main/java/org/verbenatally/forward/ResponseBodyReader.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseBodyReader.java
@@ -44,6 +44,7 @@
     private final Deque<Item> items = new ArrayDeque<>();
     private final HttpClientResponse response;
     private final Context context = Vertx.currentContext();
+    private Runnable onProgress = () -> {};
     private Promise<Void> itemArrived;
     private long waitEnd;
     private long timerId = NO_TIMER;
@@ -77,6 +78,7 @@
 
     private void add(Item item) {
         items.addLast(item);
+        reportProgress(item);
         wake();
     }
 
@@ -110,6 +112,29 @@
         }
     }
 
+    /** Returns whether no item is queued. */
+    boolean isEmpty() {
+        return items.isEmpty();
+    }
+
+    /**
+     * Sets an action that is run once when an item arrives that ends an event or the body, or at once if one is queued;
+     * replaces the previous action.
+     */
+    void onProgress(Runnable action) {
+        onProgress = action;
+        items.forEach(this::reportProgress);
+    }
+
+    private void reportProgress(Item item) {
+        boolean progress = item instanceof End || item instanceof Piece piece && EventSplitter.endsEvent(piece.bytes());
+        if (progress) {
+            Runnable action = onProgress;
+            onProgress = () -> {};
+            action.run();
+        }
+    }
+
     /** Interrupts the present wait, or the next one. */
     void signal() {
         signalled = true;
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import org.jboss.logging.Logger;
 import org.verbenatally.core.Address;
@@ -26,6 +27,10 @@
     private static final int MAX_LOSSES = 2;
     /** Longest wait for an engine to continue from a copy. */
     private static final Duration CONTINUE_TIMEOUT = Duration.ofSeconds(2);
+    /** The same while the present engine may still work on the generation, which two engines must not do for long. */
+    private static final Duration OVERLAP_TIMEOUT = Duration.ofMillis(350);
+    /** Time after which a backup is tried again whose engine did not respond. */
+    private static final Duration BACKUP_RETRY_PAUSE = Duration.ofSeconds(1);
 
     private final ForwardComponents components;
     private final ForwardedRequest request;
@@ -35,9 +40,14 @@
     private final StreamMigration migration;
     private int count;
     private int losses;
-    /** Backup from which the generation could not be continued; it is not tried again. */
+    /** Segment that was counted last among the losses. */
+    private StreamSegment lostSegment;
+    /** Engine that has no backup of the generation; it is not tried again. */
     private TargetState refusedBackup;
 
+    private boolean backupPaused;
+    private long backupPausedUntil;
+
     /**
      * Creates the continuation of a generation that runs at its first engine.
      *
@@ -74,13 +84,19 @@
         return false;
     }
 
+    /** Returns whether another engine may keep a backup of the generation. */
+    boolean hasBackup(InFlightRequest inFlight) {
+        TargetState backup = inFlight.backup();
+        return backup != null && backup != refusedBackup;
+    }
+
     /** Returns whether another engine keeps a backup that the generation could continue from at once. */
     boolean hasUsableBackup(InFlightRequest inFlight) {
-        TargetState backup = inFlight.backup();
-        return backup != null
-                && backup != refusedBackup
-                && !components.directory().isLeaving(backup)
-                && !backup.isSuspended(components.timer().nanos());
+        long now = components.timer().nanos();
+        return hasBackup(inFlight)
+                && !(backupPaused && now - backupPausedUntil < 0)
+                && !components.directory().isLeaving(inFlight.backup())
+                && !inFlight.backup().isSuspended(now);
     }
 
     /** Continues at another engine while the leaving one still runs the generation; empty if that is not possible. */
@@ -88,40 +104,61 @@
         if (!hasUsableBackup(segment.inFlight())) {
             return continueFromMigration(segment);
         }
-        return tryBackup(segment.inFlight());
+        return tryBackup(segment, CONTINUE_TIMEOUT, caller::onGone);
     }
 
     /**
      * Continues at the engine that keeps the backup while a silent engine may still run the generation; empty if that
-     * is not possible, or if the generation itself may have been the cause.
+     * is not possible, if the silent engine goes on meanwhile, or if the generation itself may have been the cause.
      *
-     * @param dead whether the silent engine no longer accepts connections
+     * @param verdict what the silence means
      */
-    Optional<StreamSegment> continueFromSilent(StreamSegment segment, boolean dead) {
-        losses += dead ? 1 : 0;
+    Optional<StreamSegment> continueFromSilent(StreamSegment segment, SilenceMonitor.Verdict verdict) {
+        boolean stalled = verdict == SilenceMonitor.Verdict.STALLED;
+        if (!stalled) {
+            countLoss(segment);
+        }
         if (losses >= MAX_LOSSES || components.crashDetector().mayHaveCrashed(segment.inFlight())) {
-            refusedBackup = segment.inFlight().backup();
+            pauseBackup();
             return Optional.empty();
         }
-        return tryBackup(segment.inFlight());
+        Optional<StreamSegment> next = tryBackup(segment, stalled ? OVERLAP_TIMEOUT : CONTINUE_TIMEOUT, cancel -> {
+            caller.onGone(cancel);
+            segment.reader().onProgress(cancel);
+        });
+        segment.reader().onProgress(() -> {});
+        return next;
     }
 
-    /** Continues from the backup, which is not tried again if that is not possible. */
-    private Optional<StreamSegment> tryBackup(InFlightRequest inFlight) {
-        TargetState backup = inFlight.backup();
-        Optional<StreamSegment> next = continueFromBackup(backup);
+    private void countLoss(StreamSegment segment) {
+        losses += segment == lostSegment ? 0 : 1;
+        lostSegment = segment;
+    }
+
+    /** Continues from the backup, which is tried again later unless its engine says that it has none. */
+    private Optional<StreamSegment> tryBackup(StreamSegment segment, Duration limit, Consumer<Runnable> onSent) {
+        TargetState backup = segment.inFlight().backup();
+        Optional<StreamSegment> next =
+                continueAt(backup, request.id(), backup.target().address(), limit, onSent);
         if (next.isEmpty()) {
-            refusedBackup = backup;
+            pauseBackup();
         }
         return next;
     }
 
+    private void pauseBackup() {
+        backupPaused = true;
+        backupPausedUntil = components.timer().nanos() + BACKUP_RETRY_PAUSE.toNanos();
+    }
+
     /**
      * Continues after the exchange with the engine broke off; empty if there is no copy, if engines broke off too
      * often, or if the generation itself may have been the cause.
      */
     Optional<StreamSegment> recover(StreamSegment segment) {
-        losses += components.directory().isLeaving(segment.targetState()) ? 0 : 1;
+        if (!components.directory().isLeaving(segment.targetState())) {
+            countLoss(segment);
+        }
         if (losses >= MAX_LOSSES) {
             return Optional.empty();
         }
@@ -146,13 +183,15 @@
         Optional<StreamSegment> next = continueAt(
                 migration.destination(),
                 migration.copyId(),
-                segment.targetState().target().address());
+                segment.targetState().target().address(),
+                CONTINUE_TIMEOUT,
+                caller::onGone);
         migration.reset();
         return next;
     }
 
     private Optional<StreamSegment> continueFromBackup(TargetState backup) {
-        return continueAt(backup, request.id(), backup.target().address());
+        return continueAt(backup, request.id(), backup.target().address(), CONTINUE_TIMEOUT, caller::onGone);
     }
 
     /**
@@ -161,8 +200,11 @@
      * @param state the engine, or {@code null} if there is none
      * @param copyId id of the copy
      * @param holder address of the engine that the id refers to
+     * @param limit longest wait for the head of its response
+     * @param onSent receives the action that cancels the exchange
      */
-    private Optional<StreamSegment> continueAt(TargetState state, String copyId, Address holder) {
+    private Optional<StreamSegment> continueAt(
+            TargetState state, String copyId, Address holder, Duration limit, Consumer<Runnable> onSent) {
         if (state == null
                 || count >= MAX_CONTINUATIONS
                 || caller.isGone()
@@ -173,10 +215,13 @@
         InFlightRequest inFlight = sender.reserve(state);
         try {
             var continuation = new ForwardingMetadata.Continuation(holder, copyId, events.lastId());
-            Attempt attempt =
-                    sender.send(inFlight, AdmissionRank.CONTINUED, Optional.of(continuation), CONTINUE_TIMEOUT);
+            Attempt attempt = sender.send(inFlight, AdmissionRank.CONTINUED, Optional.of(continuation), limit, onSent);
             ResponseHead head = attempt.head();
-            if (head.notRun() || !head.isSuccess() || attempt.isUntrusted(request)) {
+            boolean untrusted = attempt.isUntrusted(request);
+            if (head.notRun() || !head.isSuccess() || untrusted) {
+                if (!untrusted && copyId.equals(request.id())) {
+                    refusedBackup = state;
+                }
                 attempt.cancel();
                 inFlight.end();
                 attempt.logNotRun(request);
@@ -190,6 +235,7 @@
                     .info(LOG);
             events.discardIncompleteEvent();
             refusedBackup = null;
+            backupPaused = false;
             return Optional.of(new StreamSegment(inFlight, attempt));
         } catch (StepException e) {
             Attempt.logFailure(request, state, e);
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -150,8 +150,9 @@
                             copyRequest.method(),
                             copyRequest.uri(),
                             COPY_TIMEOUT);
-            HttpClientResponse response =
-                    components.client().send(clientRequest, copyRequest.body(), COPY_TIMEOUT, reset -> {});
+            HttpClientResponse response = components
+                    .client()
+                    .send(clientRequest, copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), reset -> {});
             Optional<String> copied =
                     components.codec().readCopyResponse(response.statusCode(), readBody(clientRequest, response));
             event.with("status", response.statusCode())
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -45,12 +45,13 @@
     private long lastChunkNanos;
     private long longestGapNanos;
     private StreamSegment segment;
+    /** Why the segment was found to be silent. */
+    private SilenceMonitor.Verdict silenceVerdict;
 
     private enum End {
         COMPLETE,
         BROKEN,
-        STALLED,
-        DEAD,
+        SILENT,
         LEAVING,
         CALLER_LEFT,
         DEADLINE
@@ -74,7 +75,7 @@
         this.continuation = new StreamContinuation(components, request, caller, events, sender, migration);
         this.silence = new SilenceMonitor(
                 components.timer(),
-                components.probe(),
+                components.probe()::checkShared,
                 request.route().eventGapObjective().orElse(DEFAULT_EVENT_GAP_OBJECTIVE),
                 () -> context.runOnContext(v -> signalReader()));
     }
@@ -150,7 +151,8 @@
                     inFlight,
                     rank,
                     Optional.empty(),
-                    request.remaining(components.timer().nanos()));
+                    request.remaining(components.timer().nanos()),
+                    caller::onGone);
             // A refusal that belongs to another request says nothing about this one, which may be running.
             if (attempt.isUntrusted(request)) {
                 attempt.cancel();
@@ -215,7 +217,7 @@
                     segment.close(false);
                     return fail("deadline");
                 }
-                case STALLED, DEAD -> replaceSegment(continuation.continueFromSilent(segment, end == End.DEAD));
+                case SILENT -> replaceSegment(continuation.continueFromSilent(segment, silenceVerdict));
                 case LEAVING -> replaceSegment(continuation.continueFromLeaving(segment));
                 case BROKEN -> {
                     segment.targetState().onUnreachable(components.timer().nanos());
@@ -262,14 +264,11 @@
             if (remaining.isNegative()) {
                 return End.DEADLINE;
             }
-            boolean monitored = chunksForwarded > 0 && continuation.hasUsableBackup(segment.inFlight());
-            if (monitored) {
-                Optional<End> silent = checkSilence();
-                if (silent.isPresent()) {
-                    return silent.get();
-                }
+            boolean hasBackup = chunksForwarded > 0 && continuation.hasBackup(segment.inFlight());
+            if (hasBackup && segment.reader().isEmpty() && isSilent()) {
+                return End.SILENT;
             }
-            Duration untilVerdict = monitored ? silence.untilNextVerdict() : remaining;
+            Duration untilVerdict = hasBackup ? silence.untilNextVerdict() : remaining;
             ResponseBodyReader.Item item =
                     segment.reader().next(untilVerdict.compareTo(remaining) < 0 ? untilVerdict : remaining);
             switch (item) {
@@ -306,26 +305,25 @@
         }
     }
 
-    /** Returns how the segment ends if its engine has been silent for too long. */
-    private Optional<End> checkSilence() {
+    /** Returns whether the engine has been silent for too long, and the generation may continue elsewhere now. */
+    private boolean isSilent() {
         TargetState state = segment.targetState();
-        SilenceMonitor.Verdict verdict = silence.verdict(state.target());
-        if (verdict == SilenceMonitor.Verdict.SERVING) {
-            return Optional.empty();
+        silenceVerdict = silence.verdict(state.target());
+        if (silenceVerdict == SilenceMonitor.Verdict.SERVING || !continuation.hasUsableBackup(segment.inFlight())) {
+            return false;
         }
         LogEvent.of("stream.silent")
                 .request(request.id())
                 .with("target", state.target().id())
-                .with("verdict", verdict)
+                .with("verdict", silenceVerdict)
                 .with("ms", silence.silence().toMillis())
                 .with("pieces", chunksForwarded)
                 .info(LOG);
-        if (verdict == SilenceMonitor.Verdict.STALLED) {
-            return Optional.of(End.STALLED);
+        if (silenceVerdict != SilenceMonitor.Verdict.STALLED) {
+            state.onUnreachable(components.timer().nanos());
+            components.crashDetector().onConnectionLost(state);
         }
-        state.onUnreachable(components.timer().nanos());
-        components.crashDetector().onConnectionLost(state);
-        return Optional.of(End.DEAD);
+        return true;
     }
 
     private void logBroken(String reason) {
--- a/forward/src/main/java/org/verbenatally/forward/StreamSender.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamSender.java
@@ -4,6 +4,7 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /** Reserves engines for one generation and sends it to them: to its first engine and to those that continue it. */
 final class StreamSender {
@@ -53,13 +54,15 @@
      *
      * @param continuation copy to continue from; empty for the first send
      * @param limit longest wait for the head of the response
+     * @param onSent receives the action that cancels the exchange, as soon as the request is being sent
      * @throws org.verbenatally.core.StepException as {@link Attempt#start}
      */
     Attempt send(
             InFlightRequest inFlight,
             AdmissionRank rank,
             Optional<ForwardingMetadata.Continuation> continuation,
-            Duration limit) {
+            Duration limit,
+            Consumer<Runnable> onSent) {
         var metadata = new ForwardingMetadata(
                 inFlight.targetState().target().id(),
                 request.remaining(components.timer().nanos()),
@@ -67,6 +70,7 @@
                 request.organisation(),
                 Optional.ofNullable(inFlight.backup()).map(b -> b.target().address()),
                 continuation);
-        return Attempt.start(components, request, caller, inFlight.targetState(), metadata, limit);
+        return Attempt.start(
+                components, request, caller, inFlight.targetState(), metadata, ResponseTimeout.of(limit), onSent);
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetChooser.java
@@ -90,12 +90,6 @@
         return reachable.isEmpty() ? states : reachable;
     }
 
-    /** Returns whether a service has a target that is not excluded. */
-    boolean hasTarget(ServiceName service, Set<TargetId> exclude) {
-        return directory.candidates(service).stream()
-                .anyMatch(state -> !exclude.contains(state.target().id()));
-    }
-
     /** Chooses a target of a plain service; empty if there is none. */
     Optional<TargetState> chooseTarget(ServiceName service, Set<TargetId> exclude) {
         long now = timer.nanos();
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -129,7 +129,8 @@
      * @param onSent receives the action that cancels the exchange, as soon as the request is being sent
      * @throws StepException with outcome {@code UNKNOWN} if no head arrives in time
      */
-    HttpClientResponse send(HttpClientRequest request, Buffer body, Duration limit, Consumer<Runnable> onSent) {
+    HttpClientResponse send(
+            HttpClientRequest request, Buffer body, ResponseTimeout timeout, Consumer<Runnable> onSent) {
         Future<HttpClientResponse> responseFuture = (body.length() == 0 && !methodAllowsBody(request)
                         ? request.send()
                         : request.send(body))
@@ -137,19 +138,30 @@
         onSent.accept(request::reset);
         String peer = String.valueOf(request.connection().remoteAddress());
         try {
-            HttpClientResponse response = TimedAwait.await(responseFuture, limit);
+            HttpClientResponse response = await(responseFuture, timeout);
             usedConnections.add(request.connection());
             return response;
         } catch (TimeoutException e) {
             request.reset();
-            String message = "no response within " + limit.toMillis() + " ms";
-            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, message, e);
+            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "no response in time: " + e.getMessage(), e);
         } catch (Exception e) {
             request.reset();
             throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "connection lost: " + e.getMessage(), e);
         }
     }
 
+    private static <T> T await(Future<T> future, ResponseTimeout timeout) throws TimeoutException {
+        try {
+            return TimedAwait.await(future, timeout.early());
+        } catch (TimeoutException e) {
+            Duration rest = timeout.limit().minus(timeout.early());
+            if (!rest.isPositive() || timeout.mayEndEarly().getAsBoolean()) {
+                throw e;
+            }
+            return TimedAwait.await(future, rest);
+        }
+    }
+
     private static boolean methodAllowsBody(HttpClientRequest request) {
         HttpMethod method = request.getMethod();
         return method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT) || method.equals(HttpMethod.PATCH);
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -2,6 +2,7 @@
 
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.UnaryOperator;
 
 import io.vertx.core.MultiMap;
@@ -47,7 +48,7 @@
         }
 
         @Override
-        public java.util.Optional<String> readCopyResponse(int status, Buffer body) {
+        public Optional<String> readCopyResponse(int status, Buffer body) {
             return codec.readCopyResponse(status, body);
         }
     }
--- a/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -6,9 +6,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.IntStream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -30,6 +32,7 @@
     private static final int LAST_EVENT = 6;
 
     private final AtomicInteger continuations = new AtomicInteger();
+    private final AtomicInteger sends = new AtomicInteger();
     private ForwardFixture fixture;
 
     @BeforeEach
@@ -126,15 +129,16 @@
         assertThat(continuations).as("sends to the engine with the backup").hasValue(0);
     }
 
-    /** Guards against cutting off a generation because two engines in a row were silent for a second. */
+    /** Guards against cutting off a generation because two engines in a row were silent for long. */
     @Test
     void secondSilenceDoesNotEndGeneration() throws Exception {
         RawTarget.Script pausingOnce = (request, out, socket) -> {
             String last = RawTarget.header(request, TestCodec.LAST_EVENT);
+            boolean pauses = sends.incrementAndGet() <= 2;
             int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
             RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
             for (int number = first; number <= LAST_EVENT; number++) {
-                Thread.sleep(number == first + 1 ? PAUSE.toMillis() : 0);
+                Thread.sleep(pauses && number == first + 1 ? LONG_PAUSE.toMillis() : 0);
                 writeEvent(out, number);
             }
             RawTarget.write(out, "0\r\n\r\n");
@@ -143,9 +147,48 @@
         try (var third = new RawTarget(pausingOnce)) {
             fixture.publish("third", ENGINES, third, 20_000);
             expectComplete(pausingOnce, pausingOnce);
+            assertThat(sends).hasValue(3);
         }
     }
 
+    /** Guards against two engines that work on one generation, and against waiting for the slower one. */
+    @Test
+    void engineThatGoesOnKeepsGenerationFromSlowBackup() throws Exception {
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        RawTarget.Script slow = (request, out, socket) -> {
+            if (socket.getInputStream().read() < 0) {
+                cancelled.complete(null);
+            }
+            return false;
+        };
+        expectComplete(pausing(LONG_PAUSE), slow);
+        cancelled.get(2, TimeUnit.SECONDS);
+    }
+
+    /** Guards against cutting off a generation whose backup could not be reached at the first attempt. */
+    @Test
+    void backupIsTriedAgainWhenTheEngineDies() throws Exception {
+        RawTarget.Script dying = (request, out, socket) -> {
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            writeEvent(out, 1);
+            Thread.sleep(LONG_PAUSE.toMillis());
+            RawTarget.reset(socket);
+            return false;
+        };
+        RawTarget.Script silentAtFirst = (request, out, socket) -> {
+            if (sends.incrementAndGet() == 1) {
+                Thread.sleep(100_000);
+            }
+            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            for (int number = 2; number <= LAST_EVENT; number++) {
+                writeEvent(out, number);
+            }
+            RawTarget.write(out, "0\r\n\r\n");
+            return true;
+        };
+        expectComplete(dying, silentAtFirst);
+    }
+
     /** Guards against a generation that stays at a dead engine whose open connections were not reset. */
     @Test
     void generationLeavesSilentEngineThatNoLongerListens() throws Exception {
@@ -218,4 +261,25 @@
             assertThat(target.requests()).hasSize(1);
         }
     }
+
+    /** Guards against giving up on a silent target for the sake of a retry that is not allowed. */
+    @Test
+    void repeatableCallsWaitForSilentTargetsBeyondTheRetryAllowance() throws Exception {
+        RawTarget.Script silent = (request, out, socket) -> {
+            Thread.sleep(PAUSE.toMillis());
+            RawTarget.write(out, head(request, "Content-Length: 4\r\n") + "body");
+            return true;
+        };
+        try (var first = new RawTarget(silent);
+                var second = new RawTarget(silent)) {
+            fixture.publish("first", CALLS, first);
+            fixture.publish("second", CALLS, second);
+            List<CompletableFuture<HttpResponse<String>>> responses = IntStream.range(0, 90)
+                    .mapToObj(i -> fixture.sendLater(fixture.request("/repeat/x", "r" + i)
+                            .setHeader(TestCodec.CALLER_TIMEOUT, "10000")
+                            .build()))
+                    .toList();
+            assertThat(responses.stream().map(r -> r.join().statusCode())).containsOnly(OK);
+        }
+    }
 }
