Release the target of a request that fails with an internal error

Callers saw: nothing, but the target worked on for them, and its load was counted for good, so that it looked fuller than it was. Cause: only the failures of a step ended the exchange and its load; an unexpected exception after the send did not. Evidence: ForwardHandlerTest.internalErrorReleasesTheEngine on the code before: TimeoutException, the connection to the engine stayed open. Change: any exception between connection and response resets the exchange and ends its load. Result: ForwardHandlerTest passes.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -78,6 +78,9 @@
                 components.crashDetector().onConnectionLost(state);
             }
             throw e;
+        } catch (RuntimeException | Error e) {
+            clientRequest.reset();
+            throw e;
         }
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -241,6 +241,9 @@
             Attempt.logFailure(request, state, e);
             inFlight.end();
             return Optional.empty();
+        } catch (RuntimeException | Error e) {
+            inFlight.end();
+            throw e;
         }
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -182,6 +182,9 @@
                 return Optional.of(fail("engine lost"));
             }
             continueWith(next.get());
+        } catch (RuntimeException | Error e) {
+            inFlight.end();
+            throw e;
         }
         caller.startChunked(segment.attempt().response());
         return Optional.of(forwardSegments());
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -1,8 +1,11 @@
 package org.verbenatally.forward;
 
+import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.UnaryOperator;
 
 import io.vertx.core.MultiMap;
@@ -95,4 +98,29 @@
         assertThat(response.statusCode()).isEqualTo(502);
         assertThat(response.headers().firstValue(TestCodec.SIGNED)).isEmpty();
     }
+
+    /** Guards against an engine that works on for a request that has failed with an internal error. */
+    @Test
+    void internalErrorReleasesTheEngine() throws Exception {
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        try (var fixture = new ForwardFixture(
+                        Duration.ofSeconds(3), new FailingCodec(new TestCodec(), "response"), new BodyMemory());
+                var engine = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    if (socket.getInputStream().read() < 0) {
+                        cancelled.complete(null);
+                    }
+                    return false;
+                })) {
+            fixture.configure(1);
+            fixture.publish("engine", ForwardFixture.ENGINES, engine);
+            HttpRequest request = fixture.request("/stream/x", "r1")
+                    .header(TestCodec.TOKENS, "1000")
+                    .POST(HttpRequest.BodyPublishers.ofString("prompt"))
+                    .build();
+            assertThat(fixture.send(request).statusCode()).isEqualTo(502);
+            cancelled.get(10, TimeUnit.SECONDS);
+            assertThat(fixture.server.directory().ownLoads()).allMatch(load -> load.getRequests() == 0);
+        }
+    }
 }
