Bound the numbers of tokens that a caller states

Cause: numbers near the largest long overflowed in the expected memory of a generation, so that its engine looked empty to all instances. Evidence: GenerationTest.hugeNumbersOfTokensDoNotOverflow on the code before: the expected memory was negative. Change: more than a billion tokens count as a billion. Result: the test passes.

--- a/forward/src/main/java/org/verbenatally/forward/Generation.java
+++ b/forward/src/main/java/org/verbenatally/forward/Generation.java
@@ -11,6 +11,18 @@
  */
 public record Generation(long promptTokens, long maxTokens, OptionalLong expectedTokens) {
 
+    /** Largest number of tokens that is counted; a larger one is treated as this one, so that sums cannot overflow. */
+    private static final long MAX_TOKENS = 1_000_000_000;
+
+    /** Bounds the numbers of tokens. */
+    public Generation {
+        promptTokens = Math.min(promptTokens, MAX_TOKENS);
+        maxTokens = Math.min(maxTokens, MAX_TOKENS);
+        if (expectedTokens.isPresent() && expectedTokens.getAsLong() > MAX_TOKENS) {
+            expectedTokens = OptionalLong.of(MAX_TOKENS);
+        }
+    }
+
     /** Generations that are expected to generate fewer tokens end before a copy of them would be of use. */
     private static final long MIN_LONG_TOKENS = 100;
 
