Limit the time that a caller may take to send a body

Evidence: IdleConnectionsTest.requestWhoseBodyStopsIsRefused on the code before: no response in time. Change: a body must arrive within the idle timeout, as before the idle timeout of the HTTP server was given up. Result: the test passes.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -38,16 +38,26 @@
     private final Supplier<Optional<ForwardDeployment>> deployment;
     private final Shutdown shutdown;
     private final Context context;
+    private final Duration maxBodyTime;
 
+    /**
+     * Creates a handler.
+     *
+     * @param deployment configuration in force, empty before there is one
+     * @param context context of the verticle that accepts the requests
+     * @param maxBodyTime longest time that a caller may take to send a body, whatever timeout it states
+     */
     ForwardHandler(
             ForwardComponents components,
             Supplier<Optional<ForwardDeployment>> deployment,
             Shutdown shutdown,
-            Context context) {
+            Context context,
+            Duration maxBodyTime) {
         this.components = Objects.requireNonNull(components, "components");
         this.deployment = Objects.requireNonNull(deployment, "deployment");
         this.shutdown = Objects.requireNonNull(shutdown, "shutdown");
         this.context = Objects.requireNonNull(context, "context");
+        this.maxBodyTime = Objects.requireNonNull(maxBodyTime, "maxBodyTime");
     }
 
     /** A request that is rejected before a service is contacted. */
@@ -239,12 +249,13 @@
     private Buffer readBody(CallerExchange caller, RequestHead head, ForwardDeployment d) throws Rejected {
         Buffer body = Buffer.buffer();
         CallerExchange.BodyEnd end;
+        Duration timeout = head.callerTimeout().orElse(BODY_TIMEOUT);
         try {
             end = caller.readBody(
                     body,
                     d.limits().bodyBytes(),
                     components.bodyMemory(),
-                    head.callerTimeout().orElse(BODY_TIMEOUT));
+                    timeout.compareTo(maxBodyTime) < 0 ? timeout : maxBodyTime);
         } catch (TimeoutException e) {
             throw new Rejected(CallerExchange.UNAVAILABLE, "body did not arrive in time");
         }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -230,7 +230,8 @@
         @Override
         public Future<?> start() {
             Context ownContext = context;
-            ForwardHandler handler = new ForwardHandler(components, config::deployment, shutdown, ownContext);
+            ForwardHandler handler =
+                    new ForwardHandler(components, config::deployment, shutdown, ownContext, options.idleTimeout());
             return vertx.createHttpServer(new HttpServerOptions()
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setHandle100ContinueAutomatically(true)
--- a/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
@@ -68,4 +68,16 @@
             assertThat(used.read("(never)")).isEmpty();
         }
     }
+
+    /** Guards against a caller that holds a connection and memory by never sending the rest of a body. */
+    @Test
+    void requestWhoseBodyStopsIsRefused() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> false);
+                var caller = new RawCaller(fixture.callers)) {
+            fixture.publish("a", CALLS, target);
+            caller.write("POST /once/x HTTP/1.1\r\nHost: " + fixture.callers.host() + "\r\n" + TestCodec.ID + ": r1\r\n"
+                    + TestCodec.CALLER_TIMEOUT + ": 100000\r\nContent-Length: 10\r\n\r\nhalf");
+            assertThat(caller.read("\r\n\r\n")).startsWith("HTTP/1.1 503");
+        }
+    }
 }
