Answer callers who cannot resume their response

Callers saw: a closed connection instead of a response to a request that is not streamed, and a stream without tokens that ended without an outcome, if the entry stopped at the timeout of a graceful shutdown. Requests that are not streamed also lost their connection when an engine's response to a resume had been lost, as the later resume then looked like that of another entry. Cause: the run asks the caller to resume elsewhere without regard to whether the caller knows an address to resume at. Change: only resumable responses are ended for a reconnect. At a shutdown the others get a problem document or error event of type stopping with outcome unknown and a delay for the retry; otherwise the generation counts as lost, which the retry policy may repeat.

--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerResponse.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerResponse.java
@@ -17,7 +17,10 @@
     /** The request failed. */
     void fail(Problem problem);
 
-    /** Ends the caller's connection without an outcome, so that the caller resumes elsewhere. */
+    /**
+     * Ends the caller's connection without an outcome, so that the caller resumes elsewhere. Must be called only if the
+     * response {@linkplain #isResumable is resumable}; otherwise the caller needs an outcome.
+     */
     void reconnect();
 
     /** Returns whether the caller knows the generation, so that no other may replace it. */
--- a/entry/src/main/java/org/verbenatally/entry/caller/CompleteResponse.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CompleteResponse.java
@@ -55,7 +55,7 @@
 
     @Override
     public void reconnect() {
-        exchange.request().connection().close();
+        throw new UnsupportedOperationException("a complete response cannot be resumed");
     }
 
     @Override
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -16,6 +16,7 @@
 import org.verbenatally.core.GenerationId;
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
@@ -65,7 +66,7 @@
         DEADLINE,
         /** The caller now reads the generation on another connection. */
         SUPERSEDED,
-        /** This entry is stopping; the caller should resume at another entry. */
+        /** This entry is stopping; a caller that knows the stream should resume at another entry. */
         RECONNECT
     }
 
@@ -354,12 +355,17 @@
         exchange.addTraceStep("generation ended on " + target + ": " + e.getMessage());
         Optional<StopReason> reason = stopReason();
         if (reason.isPresent()) {
-            return endStopped(opened, reason.get());
+            return endStopped(opened, reason.get(), e.getMessage());
         }
         return switch (e.reason()) {
             case CLOSED, SUPERSEDED -> {
-                response.reconnect();
-                yield Attempt.stopped();
+                if (response.isResumable()) {
+                    response.reconnect();
+                    yield Attempt.stopped();
+                }
+                // Nobody else knows the generation, so the engine has counted an attachment that was lost on the way.
+                opened.cancel();
+                yield new Attempt(AttemptEnd.FAILED, Optional.of(generationLost(target, e.getMessage())), true, false);
             }
             case CRASHED ->
                 new Attempt(AttemptEnd.CRASHED, Optional.of(generationLost(target, e.getMessage())), true, false);
@@ -372,17 +378,23 @@
         };
     }
 
-    private Attempt endStopped(EngineStream opened, StopReason reason) {
+    private Attempt endStopped(EngineStream opened, StopReason reason, String detail) {
+        Optional<Problem> problem = RunProblems.stopped(reason, mayHaveRun);
         switch (reason) {
-            case RECONNECT, SUPERSEDED -> response.reconnect();
+            case RECONNECT, SUPERSEDED -> {
+                if (response.isResumable()) {
+                    response.reconnect();
+                } else {
+                    problem = Optional.of(
+                            reason == StopReason.RECONNECT
+                                    ? RunProblems.stopping(Step.FIRST_TOKEN, mayHaveRun)
+                                    : generationLost(opened.target().id(), detail));
+                }
+            }
             case ABANDONED, CANCELLED, DEADLINE -> opened.cancel();
             default -> throw new IllegalStateException("unknown reason " + reason);
         }
-        return new Attempt(AttemptEnd.CANCELLED, stopProblem(), true, true);
-    }
-
-    private Optional<Problem> stopProblem() {
-        return stopReason().flatMap(reason -> RunProblems.stopped(reason, mayHaveRun));
+        return new Attempt(AttemptEnd.CANCELLED, problem, true, true);
     }
 
     private Problem generationLost(TargetId target, String detail) {
--- a/entry/src/main/java/org/verbenatally/entry/caller/RunProblems.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/RunProblems.java
@@ -58,11 +58,15 @@
 
     /** Like {@link #stopped}, for a queued run: it has no stream yet that its caller could resume elsewhere. */
     static Optional<Problem> stoppedWhileQueued(EngineRun.StopReason reason, boolean mayHaveRun) {
-        if (reason != EngineRun.StopReason.RECONNECT) {
-            return stopped(reason, mayHaveRun);
-        }
-        Problem stopping = Problem.refused(UNAVAILABLE, "stopping", Step.ADMIT, "this entry is stopping")
+        return reason == EngineRun.StopReason.RECONNECT
+                ? Optional.of(stopping(Step.ADMIT, mayHaveRun))
+                : stopped(reason, mayHaveRun);
+    }
+
+    /** Returns the problem of a run that this entry stops and whose caller knows no stream to resume elsewhere. */
+    static Problem stopping(Step step, boolean mayHaveRun) {
+        Problem problem = Problem.refused(UNAVAILABLE, "stopping", step, "this entry is stopping")
                 .withRetryAfter(RETRY_AFTER);
-        return Optional.of(mayHaveRun ? stopping.withOutcome(Outcome.UNKNOWN) : stopping);
+        return mayHaveRun ? problem.withOutcome(Outcome.UNKNOWN) : problem;
     }
 }
--- a/entry/src/test/java/org/verbenatally/entry/EngineFaultsTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/EngineFaultsTest.java
@@ -84,7 +84,8 @@
 
     /** Guards against an incomplete response, and against giving up although nothing has been delivered. */
     @ParameterizedTest
-    @CsvSource({"full, 1", "drop@3, 1", "forget@3, 2", "gap@3, 2", "bad-json@2, 2", "wrong-count, 2"})
+    @CsvSource({"full, 1", "drop@3, 1", "forget@3, 2", "gap@3, 2", "bad-json@2, 2", "wrong-count, 2", "lost-attach@3, 2"
+    })
     void nonStreamedResponseIsRetriedUntilComplete(String fault, int expectedStarts) {
         int before = entry.starts();
         entry.engineFaults.add(fault);
--- a/entry/src/test/java/org/verbenatally/entry/EntryFixture.java
+++ b/entry/src/test/java/org/verbenatally/entry/EntryFixture.java
@@ -40,6 +40,11 @@
             .build();
 
     EntryFixture() throws Exception {
+        this(20);
+    }
+
+    /** Creates a fixture whose entry ends open requests {@code drainSeconds} after the start of a graceful shutdown. */
+    EntryFixture(int drainSeconds) throws Exception {
         JsonArray targets = new JsonArray();
         for (int i = 0; i < 2; i++) {
             FakeEngine engine = new FakeEngine(vertx, "engine-" + i, engineFaults);
@@ -73,8 +78,8 @@
                 .toCompletableFuture()
                 .join()
                 .actualPort();
-        server = new EntryServer(
-                SettingsReader.read("test", settings(platform).toBuffer().getBytes()));
+        server = new EntryServer(SettingsReader.read(
+                "test", settings(platform, drainSeconds).toBuffer().getBytes()));
         ports = server.start();
         await(() -> operator("GET", "/ready").statusCode() == 200);
     }
@@ -129,7 +134,7 @@
         return runsOn.equals("engine") ? kind.put("model", "m1") : kind;
     }
 
-    private static JsonObject settings(int platform) {
+    private static JsonObject settings(int platform, int drainSeconds) {
         JsonObject listener = new JsonObject().put("host", "127.0.0.1").put("port", 0);
         return new JsonObject()
                 .put("instance", "entry-1")
@@ -140,7 +145,7 @@
                 .put("peers", listener)
                 .put("platform", listener.copy().put("port", platform))
                 .put("streamKeys", new JsonArray().add("0123456789012345678901234567890123456789"))
-                .put("drainSeconds", 20)
+                .put("drainSeconds", drainSeconds)
                 .put("seed", 1);
     }
 
--- a/entry/src/test/java/org/verbenatally/entry/FakeEngine.java
+++ b/entry/src/test/java/org/verbenatally/entry/FakeEngine.java
@@ -128,6 +128,11 @@
 
     private void attach(HttpServerRequest request, String id, Generation generation, int from, boolean first) {
         HttpServerResponse response = request.response();
+        if (generation.fault.startsWith("lost-attach") && generation.attachments == 1) {
+            generation.attachments++;
+            request.connection().close();
+            return;
+        }
         if (generation.openResponse != null) {
             generation.openResponse.reset();
         }
@@ -147,19 +152,23 @@
             response.write(token(id, offset));
         }
         if (faultParts[0].equals("slow")) {
-            vertx.setPeriodic(500, timer -> {
-                if (response.closed()) {
-                    vertx.cancelTimer(timer);
-                } else {
-                    response.write(": hb\n\n");
-                }
-            });
+            sendHeartbeats(response);
             return;
         }
         int count = faultParts[0].equals("wrong-count") ? TOKENS + 1 : TOKENS;
         response.end("event: end\ndata: {\"tokens\":" + count + ",\"preemptions\":0}\n\n");
     }
 
+    private void sendHeartbeats(HttpServerResponse response) {
+        vertx.setPeriodic(500, timer -> {
+            if (response.closed()) {
+                vertx.cancelTimer(timer);
+            } else {
+                response.write(": hb\n\n");
+            }
+        });
+    }
+
     private static String token(String id, int offset) {
         return "id: " + offset + "\ndata: {\"t\":\"" + id.substring(0, 4) + '.' + offset + " \"}\n\n";
     }
@@ -168,7 +177,8 @@
     private boolean injectFault(HttpServerRequest request, Generation generation, String fault, int offset) {
         HttpServerResponse response = request.response();
         switch (fault) {
-            case "drop" -> close(request);
+            case "drop", "lost-attach" -> close(request);
+            case "slow" -> sendHeartbeats(response);
             case "forget" -> {
                 generation.known = false;
                 close(request);
