Release everything when an engine request fails unexpectedly

Callers saw: a stream that stayed open, with keep-alives but neither tokens nor an end, after an unexpected exception in the task that served it. The request also occupied a slot of its target and organisation for good, and its engine went on generating. Cause: only the expected ends of an attempt end the request in flight, the connection to the engine and the response; an exception left all three open, and the handler of the request can send a problem document only before the response begins. Change: the request in flight and the connection to the engine are closed whatever ends the run, and after an exception the response ends with a problem document or error event of type internal-error with outcome unknown.

--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -79,7 +79,7 @@
                 Problem.refused(UNAVAILABLE, "stopping", Step.ACCEPT, detail).withRetryAfter(STOPPING_RETRY_AFTER));
     }
 
-    private static Problem internalError() {
+    static Problem internalError() {
         return Problem.refused(INTERNAL_ERROR, "internal-error", Step.ACCEPT, "an internal error occurred")
                 .withOutcome(Outcome.UNKNOWN);
     }
--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -108,24 +108,43 @@
 
     /** Runs the request until the response is complete or has failed. */
     void run() {
-        begin();
-        try {
-            runAttempts();
-        } finally {
-            finish();
-        }
+        execute(this::runAttempts);
     }
 
     /** Delivers the rest of a generation, from offset {@code from}, over a new attachment to it. */
     void resume(Target target, GenerationId generation, TokenFeed feed, long from) {
-        begin();
-        try {
+        execute(() -> {
             EngineStream opened = open(target, generation, feed, from);
             response.onStarted(generation, streamToken(target.id(), generation));
             Attempt attempt = deliver(opened, Optional.empty());
             attempt.problem().ifPresent(this::fail);
-        } finally {
-            finish();
+        });
+    }
+
+    /** Runs the delivery. If it throws an exception, ends the response before the exception is passed on. */
+    private void execute(Runnable delivery) {
+        try {
+            try {
+                begin();
+                delivery.run();
+            } finally {
+                finish();
+            }
+        } catch (Throwable e) {
+            // Future.await throws checked exceptions without declaring them.
+            endResponse(e);
+            throw e;
+        }
+    }
+
+    private void endResponse(Throwable cause) {
+        if (exchange.response().ended()) {
+            return;
+        }
+        try {
+            response.fail(CallerHandler.internalError());
+        } catch (RuntimeException | Error e) {
+            cause.addSuppressed(e);
         }
     }
 
@@ -141,6 +160,10 @@
         vertx.cancelTimer(deadlineTimer);
         vertx.cancelTimer(earlyHeadTimer);
         components.runs().remove(this);
+        if (stream != null) {
+            stream.close();
+            components.runs().detach(stream.generation(), this);
+        }
     }
 
     private void onCallerDisconnect() {
@@ -187,8 +210,12 @@
             }
             TargetId target = inFlight.get().target();
             exchange.addTraceStep("attempt " + attempts + " on " + target);
-            Attempt attempt = runAttempt(inFlight.get());
-            inFlight.get().end(attempt.end());
+            Attempt attempt = null;
+            try {
+                attempt = runAttempt(inFlight.get());
+            } finally {
+                inFlight.get().end(attempt == null ? AttemptEnd.CANCELLED : attempt.end());
+            }
             if (attempt.problem().isEmpty()) {
                 return;
             }
