Close the connection if an internal error leaves a response unfinished

Callers saw: a connection that stayed open without the rest of a response, or without any response, after an internal error in the entry. Cause: an error was reported only by a problem document. None was sent if the response had begun, if sending it failed in turn, or if the error occurred before the request was handled; the connection was kept open in all three cases. Evidence: on the code before, InternalErrorTest.connectionOfBegunResponseIsClosed, connectionIsClosedIfNoProblemDocumentCanBeSent and connectionIsClosedIfTheHandlerCannotStart failed with a TimeoutException after 5 s. Change: the connection is closed in these cases, which tells the caller that the response is cut off. Result: all tests of the module pass.

--- a/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/CallerHandler.java
@@ -53,7 +53,16 @@
     }
 
     void handle(HttpServerRequest request) {
-        Exchange exchange = new Exchange(request, components.timer().nanos());
+        try {
+            handle(new Exchange(request, components.timer().nanos()));
+        } catch (RuntimeException | Error e) {
+            // A caller without a response would wait for as long as its connection is open.
+            request.connection().close();
+            LOG.errorf(e, "caller: closed the connection of a request that could not be answered");
+        }
+    }
+
+    private void handle(Exchange exchange) {
         try {
             exchange.checkId();
             dispatch(exchange);
@@ -90,6 +99,7 @@
             exchange.fail(problem);
         } catch (RuntimeException e) {
             LOG.debugf("caller: request %s could not be answered: %s", exchange.id(), e.getMessage());
+            exchange.request().connection().close();
         }
     }
 
--- a/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/Exchange.java
@@ -164,7 +164,7 @@
         }
     }
 
-    /** Sends a problem document, unless the response has already begun. */
+    /** Sends a problem document; if the response has already begun and not ended, closes the connection instead. */
     void fail(Problem problem) {
         HttpServerResponse response = response();
         Problem reported = problem;
@@ -173,7 +173,11 @@
             reported = problem.withOutcome(Outcome.UNKNOWN);
         }
         addTraceStep("failed at " + reported.step().text() + ": " + reported.detail());
-        if (response.headWritten() || response.ended() || response.closed()) {
+        if (response.ended() || response.closed()) {
+            return;
+        }
+        if (response.headWritten()) {
+            request.connection().close();
             return;
         }
         response.setStatusCode(reported.status())
