--- a/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
+++ b/entry/src/main/java/org/verbenatally/entry/caller/EngineRun.java
@@ -16,6 +16,7 @@
 import org.verbenatally.core.GenerationId;
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.entry.operator.EntryMetrics;
@@ -65,7 +66,7 @@
         DEADLINE,
         /** The caller now reads the generation on another connection. */
         SUPERSEDED,
-        /** This entry is stopping; the caller should resume at another entry. */
+        /** This entry is stopping; a caller that knows the stream should resume at another entry. */
         RECONNECT
     }
 
@@ -107,24 +108,43 @@
 
     /** Runs the request until the response is complete or has failed. */
     void run() {
-        begin();
-        try {
-            runAttempts();
-        } finally {
-            finish();
-        }
+        execute(this::runAttempts);
     }
 
     /** Delivers the rest of a generation, from offset {@code from}, over a new attachment to it. */
     void resume(Target target, GenerationId generation, TokenFeed feed, long from) {
-        begin();
-        try {
+        execute(() -> {
             EngineStream opened = open(target, generation, feed, from);
             response.onStarted(generation, streamToken(target.id(), generation));
             Attempt attempt = deliver(opened, Optional.empty());
             attempt.problem().ifPresent(this::fail);
-        } finally {
-            finish();
+        });
+    }
+
+    /** Runs the delivery. If it throws an exception, ends the response before the exception is passed on. */
+    private void execute(Runnable delivery) {
+        try {
+            try {
+                begin();
+                delivery.run();
+            } finally {
+                finish();
+            }
+        } catch (Throwable e) {
+            // Future.await throws checked exceptions without declaring them.
+            endResponse(e);
+            throw e;
+        }
+    }
+
+    private void endResponse(Throwable cause) {
+        if (exchange.response().ended()) {
+            return;
+        }
+        try {
+            response.fail(CallerHandler.internalError());
+        } catch (RuntimeException | Error e) {
+            cause.addSuppressed(e);
         }
     }
 
@@ -140,6 +160,10 @@
         vertx.cancelTimer(deadlineTimer);
         vertx.cancelTimer(earlyHeadTimer);
         components.runs().remove(this);
+        if (stream != null) {
+            stream.close();
+            components.runs().detach(stream.generation(), this);
+        }
     }
 
     private void onCallerDisconnect() {
@@ -186,8 +210,12 @@
             }
             TargetId target = inFlight.get().target();
             exchange.addTraceStep("attempt " + attempts + " on " + target);
-            Attempt attempt = runAttempt(inFlight.get());
-            inFlight.get().end(attempt.end());
+            Attempt attempt = null;
+            try {
+                attempt = runAttempt(inFlight.get());
+            } finally {
+                inFlight.get().end(attempt == null ? AttemptEnd.CANCELLED : attempt.end());
+            }
             if (attempt.problem().isEmpty()) {
                 return;
             }
@@ -354,12 +382,17 @@
         exchange.addTraceStep("generation ended on " + target + ": " + e.getMessage());
         Optional<StopReason> reason = stopReason();
         if (reason.isPresent()) {
-            return endStopped(opened, reason.get());
+            return endStopped(opened, reason.get(), e.getMessage());
         }
         return switch (e.reason()) {
             case CLOSED, SUPERSEDED -> {
-                response.reconnect();
-                yield Attempt.stopped();
+                if (response.isResumable()) {
+                    response.reconnect();
+                    yield Attempt.stopped();
+                }
+                // Nobody else knows the generation, so the engine has counted an attachment that was lost on the way.
+                opened.cancel();
+                yield new Attempt(AttemptEnd.FAILED, Optional.of(generationLost(target, e.getMessage())), true, false);
             }
             case CRASHED ->
                 new Attempt(AttemptEnd.CRASHED, Optional.of(generationLost(target, e.getMessage())), true, false);
@@ -372,17 +405,23 @@
         };
     }
 
-    private Attempt endStopped(EngineStream opened, StopReason reason) {
+    private Attempt endStopped(EngineStream opened, StopReason reason, String detail) {
+        Optional<Problem> problem = RunProblems.stopped(reason, mayHaveRun);
         switch (reason) {
-            case RECONNECT, SUPERSEDED -> response.reconnect();
+            case RECONNECT, SUPERSEDED -> {
+                if (response.isResumable()) {
+                    response.reconnect();
+                } else {
+                    problem = Optional.of(
+                            reason == StopReason.RECONNECT
+                                    ? RunProblems.stopping(Step.FIRST_TOKEN, mayHaveRun)
+                                    : generationLost(opened.target().id(), detail));
+                }
+            }
             case ABANDONED, CANCELLED, DEADLINE -> opened.cancel();
             default -> throw new IllegalStateException("unknown reason " + reason);
         }
-        return new Attempt(AttemptEnd.CANCELLED, stopProblem(), true, true);
-    }
-
-    private Optional<Problem> stopProblem() {
-        return stopReason().flatMap(reason -> RunProblems.stopped(reason, mayHaveRun));
+        return new Attempt(AttemptEnd.CANCELLED, problem, true, true);
     }
 
     private Problem generationLost(TargetId target, String detail) {
