Order what the store says by its epoch before its revision

Cause: the revision alone told which of two statements is later. Revisions go back with a restore and are given out again, so that a statement of after the restore was taken for an old one, as long as its revision was not above that of before: in the directory of targets, in the replicated table of published targets, in removals. Class of fault: order by a counter that its owner may set back.

Change: SourceRevision is the pair of epoch and revision, compared in this order, and replaces the plain revision everywhere. Records of earlier epochs from peers are ignored once that time is over. A record that a new epoch begins with may come from the copy, so it does not give work to a run of a target that was leaving before. Peers get the epoch in a new optional field; a record without one, from an instance of before this change, is of the newest epoch known to the receiver.

Ruled out: the configuration itself is ordered by its own version and does not go back.

--- a/core/src/main/java/org/verbenatally/peer/GossipExchange.java
+++ b/core/src/main/java/org/verbenatally/peer/GossipExchange.java
@@ -351,6 +351,7 @@
             // All are checked before any is stored, so that a frame with an invalid one changes no published target.
             handler.validatePublished(gossip.getPublished());
             updates = gossip.getPublished().stream()
+                    .map(published::withEpoch)
                     .filter(target -> published.put(target, link.id))
                     .toList();
             handler.onPublished(updates);
--- a/core/src/main/java/org/verbenatally/peer/PublishedTable.java
+++ b/core/src/main/java/org/verbenatally/peer/PublishedTable.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Objects;
 
+import org.verbenatally.core.SourceRevision;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.TargetEntry;
@@ -17,9 +18,11 @@
 final class PublishedTable {
     private final TimerService timers;
     private final Duration retention;
-    private final ReplicatedTable<String, PublishedTarget> targets = new ReplicatedTable<>(
-            Comparator.comparingLong(PublishedTarget::getRevision), PublishedTable::isSameContent);
+    private final ReplicatedTable<String, PublishedTarget> targets =
+            new ReplicatedTable<>(Comparator.comparing(PublishedTable::revision), PublishedTable::isSameContent);
     private final Map<String, Long> unpublishedAt = new HashMap<>();
+    /** The newest epoch of all records stored so far, 0 if none stated one. */
+    private long newestEpoch;
 
     /**
      * Creates an empty table.
@@ -32,6 +35,10 @@
         this.retention = Objects.requireNonNull(retention, "retention");
     }
 
+    private static SourceRevision revision(PublishedTarget target) {
+        return new SourceRevision(target.getEpoch(), target.getRevision());
+    }
+
     /**
      * Returns whether two published targets differ only in their revision, which changes with each heartbeat, or in the
      * remaining time of a slow start, whose end alone counts as a change.
@@ -49,6 +56,16 @@
         return sameColdState && new TargetEntry(before).setColdMs(0).equals(new TargetEntry(after).setColdMs(0));
     }
 
+    /**
+     * Returns a record that a peer has sent, with its epoch. Instances of an earlier release state none; their records
+     * are taken to be of the newest epoch known here.
+     */
+    synchronized PublishedTarget withEpoch(PublishedTarget received) {
+        return received.isSetEpoch() || newestEpoch == 0
+                ? received
+                : received.deepCopy().setEpoch(newestEpoch);
+    }
+
     /**
      * Stores a published target if it is newer than the current one.
      *
@@ -56,6 +73,7 @@
      * @return whether it changed
      */
     synchronized boolean put(PublishedTarget target, int sourceLink) {
+        newestEpoch = Math.max(newestEpoch, target.getEpoch());
         boolean changed = targets.put(target.getTarget(), target, sourceLink);
         if (changed && target.getEntry() == null) {
             unpublishedAt.put(target.getTarget(), timers.nanos());
--- a/core/src/test/java/org/verbenatally/peer/Fleet.java
+++ b/core/src/test/java/org/verbenatally/peer/Fleet.java
@@ -55,6 +55,7 @@
         final Map<InstanceId, Set<TargetId>> leaving = new ConcurrentHashMap<>();
         final Map<Long, Suspect> suspects = new ConcurrentHashMap<>();
         final Set<String> published = ConcurrentHashMap.newKeySet();
+        final Map<String, PublishedTarget> publishedRecords = new ConcurrentHashMap<>();
         final List<TraitReport> traitReports = new java.util.concurrent.CopyOnWriteArrayList<>();
         final Set<InstanceId> gone = ConcurrentHashMap.newKeySet();
         final List<KeyTransfer> transfers = new java.util.concurrent.CopyOnWriteArrayList<>();
@@ -109,7 +110,10 @@
 
         @Override
         public void onPublished(List<PublishedTarget> targets) {
-            targets.forEach(target -> published.add(target.getTarget()));
+            targets.forEach(target -> {
+                published.add(target.getTarget());
+                publishedRecords.put(target.getTarget(), target);
+            });
         }
 
         @Override
--- a/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
+++ b/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
@@ -52,4 +52,27 @@
         table.tick();
         assertThat(table.changes(0, LINK, 10).values()).hasSize(1);
     }
+
+    /** Guards against a revision of before a restore of the source that outlives the lower ones given out after it. */
+    @Test
+    void newerEpochReplacesHigherRevision() {
+        table.put(publishedTarget(9, false, 0).setEpoch(1), ReplicatedTable.LOCAL);
+        assertThat(table.put(publishedTarget(3, true, 0).setEpoch(2), LINK)).isTrue();
+        assertThat(table.put(publishedTarget(10, false, 0).setEpoch(1), LINK)).isFalse();
+        assertThat(table.put(new PublishedTarget("a", 11).setEpoch(1), LINK)).isFalse();
+        assertThat(table.changes(0, LINK + 1, 10).values())
+                .containsExactly(publishedTarget(3, true, 0).setEpoch(2));
+    }
+
+    /** Guards against records without an epoch, from instances of an earlier release, that never count. */
+    @Test
+    void recordWithoutEpochIsOfTheNewestKnownOne() {
+        assertThat(table.withEpoch(publishedTarget(1, false, 0)).isSetEpoch()).isFalse();
+        table.put(publishedTarget(9, false, 0).setEpoch(2), ReplicatedTable.LOCAL);
+        PublishedTarget received = table.withEpoch(publishedTarget(10, true, 0));
+        assertThat(received.getEpoch()).isEqualTo(2);
+        assertThat(table.put(received, LINK)).isTrue();
+        PublishedTarget stated = publishedTarget(11, true, 0).setEpoch(1);
+        assertThat(table.withEpoch(stated)).isEqualTo(stated);
+    }
 }
--- a/core/src/test/java/org/verbenatally/peer/TcpPeerNetworkTest.java
+++ b/core/src/test/java/org/verbenatally/peer/TcpPeerNetworkTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -23,6 +24,7 @@
 import org.verbenatally.wire.KeyTransfer;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.Suspect;
+import org.verbenatally.wire.TargetEntry;
 import org.verbenatally.wire.TargetLoad;
 import org.verbenatally.wire.TraitReport;
 
@@ -90,6 +92,22 @@
                 .allMatch(n -> n.loads.get(reporter.peers.self()).isEmpty()));
     }
 
+    /** Guards against instances that keep a target's state of before a restore of the source of targets. */
+    @Test
+    void recordOfNewerEpochReachesAllInstances() throws Exception {
+        fleet.startMembers(3);
+        PublishedTarget before = new PublishedTarget("engine-1", 9)
+                .setEpoch(1)
+                .setEntry(new TargetEntry("service", "127.0.0.1", 1, "Bole", 6, false, 1, 0));
+        fleet.node("e1").peers.publishTargets(List.of(before));
+        Fleet.await(() -> Stream.of("e2", "e3")
+                .allMatch(id -> before.equals(fleet.node(id).publishedRecords.get("engine-1"))));
+        PublishedTarget after = new PublishedTarget("engine-1", 4).setEpoch(2);
+        fleet.node("e2").peers.publishTargets(List.of(after));
+        Fleet.await(() -> Stream.of("e1", "e3")
+                .allMatch(id -> after.equals(fleet.node(id).publishedRecords.get("engine-1"))));
+    }
+
     /** Guards against a crash of which only neighbours know, or an instance that starts does not. */
     @Test
     void largeFleetKnowsAllTraitReports() throws Exception {
--- a/forward/src/main/java/org/verbenatally/forward/ForwardPeers.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardPeers.java
@@ -77,7 +77,7 @@
 
     @Override
     public void validatePublished(List<PublishedTarget> published) {
-        published.forEach(PublishedTargetCodec::decode);
+        published.forEach(PublishedTargetCodec::validate);
     }
 
     @Override
--- a/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
@@ -37,6 +37,11 @@
         Objects.requireNonNull(failureDomain, "failureDomain");
     }
 
+    /** Returns the same description of the target, but leaving. */
+    ForwardTarget asLeaving() {
+        return new ForwardTarget(id, startedMs, service, address, failureDomain, slots, true, coldMs);
+    }
+
     /** Returns whether both descriptions are of the same target, with no restart in between. */
     boolean isSameRun(ForwardTarget other) {
         return id.equals(other.id) && startedMs == other.startedMs && address.equals(other.address);
--- a/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
@@ -5,6 +5,7 @@
 import org.verbenatally.core.Address;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.SourceRevision;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.wire.PublishedTarget;
 import org.verbenatally.wire.TargetEntry;
@@ -13,7 +14,7 @@
 final class PublishedTargetCodec {
     private PublishedTargetCodec() {}
 
-    static PublishedTarget encode(ForwardTarget target, long revision) {
+    static PublishedTarget encode(ForwardTarget target, SourceRevision revision) {
         return encodeRemoval(target.id(), revision)
                 .setEntry(new TargetEntry(
                         target.service().value(),
@@ -26,8 +27,28 @@
                         target.coldMs()));
     }
 
-    static PublishedTarget encodeRemoval(TargetId id, long revision) {
-        return new PublishedTarget(id.value(), revision);
+    static PublishedTarget encodeRemoval(TargetId id, SourceRevision revision) {
+        var published = new PublishedTarget(id.value(), revision.number());
+        return revision.epoch() == 0 ? published : published.setEpoch(revision.epoch());
+    }
+
+    /**
+     * Returns the revision of a record.
+     *
+     * @throws IllegalArgumentException if the epoch is not valid
+     */
+    static SourceRevision revision(PublishedTarget published) {
+        return new SourceRevision(published.getEpoch(), published.getRevision());
+    }
+
+    /**
+     * Checks a record from a peer.
+     *
+     * @throws IllegalArgumentException if a field is not valid; the message names it
+     */
+    static void validate(PublishedTarget published) {
+        revision(published);
+        decode(published);
     }
 
     /**
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -17,6 +17,7 @@
 import org.verbenatally.core.InstanceId;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.ServiceName;
+import org.verbenatally.core.SourceRevision;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.time.TimerService;
 import org.verbenatally.wire.PublishedTarget;
@@ -24,15 +25,16 @@
 
 /**
  * The published targets, with what this instance and its peers know of each. A few instances at a time read the list
- * and pass on what has changed; of two records of a target, the one with the higher revision counts. Safe for use by
- * several threads.
+ * and pass on what has changed; of two records of a target, the one with the later revision counts. After a restore of
+ * the source from a copy, which begins a new epoch, targets that are known to have left do not get new work from the
+ * records in the copy. Safe for use by several threads.
  */
 public final class TargetDirectory {
     private static final Logger LOG = Logger.getLogger(TargetDirectory.class);
 
     /**
-     * Records that expired while the list could not be read are written again within this time after it can be read
-     * again.
+     * Records that expired while the list could not be read, or that a restore of the list has lost, are written again
+     * within this time after it can be read again.
      */
     private static final Duration RETURN_GRACE = Duration.ofSeconds(2);
     /** Time for which a target that has left is kept, for requests that still run there and for slower peers. */
@@ -45,13 +47,15 @@
     private final Map<TargetId, TargetState> states = new HashMap<>();
     private final Map<TargetId, Long> leavingSince = new HashMap<>();
     private final Map<InstanceId, Map<TargetId, TargetState.PeerLoad>> peerLoads = new HashMap<>();
-    /** Targets that this instance has read since the list became reachable. */
+    /** Targets that this instance has read since the list became reachable or was restored. */
     private final Set<TargetId> readHere = new HashSet<>();
     /** Targets that may get new work, by service; replaced whenever the list changes. */
     private volatile Map<ServiceName, List<TargetState>> candidates = Map.of();
 
     private boolean reachable;
     private long reachableSince;
+    private long epoch;
+    private long epochSince;
     private boolean known;
     private long knownAsOf;
 
@@ -88,6 +92,14 @@
         List<PublishedTarget> read = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
+            if (list.revision().epoch() < epoch) {
+                LogEvent.of("directory.oldEpoch")
+                        .with("revision", list.revision())
+                        .with("epoch", epoch)
+                        .info(LOG);
+                return;
+            }
+            beginEpoch(list.revision().epoch(), now);
             if (!reachable) {
                 reachable = true;
                 reachableSince = now;
@@ -99,14 +111,17 @@
             advanceKnownAsOf(now);
             Set<TargetId> listed = new HashSet<>();
             for (PublishedList.Target published : list.targets()) {
-                listed.add(published.target().id());
-                updateTarget(published.target(), published.revision(), now, leaving);
-                read.add(PublishedTargetCodec.encode(published.target(), published.revision()));
+                ForwardTarget target = keepLeaving(published.target(), published.revision());
+                listed.add(target.id());
+                updateTarget(target, published.revision(), now, leaving);
+                read.add(PublishedTargetCodec.encode(target, published.revision()));
             }
-            boolean settled = now - reachableSince >= RETURN_GRACE.toNanos();
+            boolean settled = now - reachableSince >= RETURN_GRACE.toNanos() && isEpochSettled(now);
             for (TargetState state : states.values()) {
                 TargetId id = state.target().id();
-                boolean missing = !listed.contains(id) && !state.isUnpublished() && state.revision() < list.revision();
+                boolean missing = !listed.contains(id)
+                        && !state.isUnpublished()
+                        && list.revision().isAfter(state.revision());
                 if (missing && (settled || readHere.contains(id))) {
                     removeTarget(state, list.revision(), now, leaving);
                     read.add(PublishedTargetCodec.encodeRemoval(id, list.revision()));
@@ -128,11 +143,16 @@
             for (PublishedTarget update : updates) {
                 TargetId id = new TargetId(update.getTarget());
                 TargetState state = states.get(id);
+                SourceRevision revision = PublishedTargetCodec.revision(update);
+                beginEpoch(revision.epoch(), now);
+                if (revision.epoch() < epoch && isEpochSettled(now)) {
+                    continue;
+                }
                 Optional<ForwardTarget> target = PublishedTargetCodec.decode(update);
                 if (target.isPresent()) {
-                    updateTarget(target.get(), update.getRevision(), now, leaving);
-                } else if (state != null && !state.isUnpublished() && state.revision() < update.getRevision()) {
-                    removeTarget(state, update.getRevision(), now, leaving);
+                    updateTarget(keepLeaving(target.get(), revision), revision, now, leaving);
+                } else if (state != null && !state.isUnpublished() && revision.isAfter(state.revision())) {
+                    removeTarget(state, revision, now, leaving);
                 }
             }
             rebuildCandidates();
@@ -140,6 +160,32 @@
         notifyLeaving(leaving);
     }
 
+    private void beginEpoch(long newEpoch, long now) {
+        if (newEpoch > epoch) {
+            epoch = newEpoch;
+            epochSince = now;
+            readHere.clear();
+            LogEvent.of("directory.newEpoch").with("epoch", epoch).info(LOG);
+        }
+    }
+
+    private boolean isEpochSettled(long now) {
+        return now - epochSince >= RETURN_GRACE.toNanos();
+    }
+
+    /**
+     * Returns a published target, as leaving if the same run of it was leaving in an earlier epoch: its record may be
+     * an old one, from the copy that the list was restored from.
+     */
+    private ForwardTarget keepLeaving(ForwardTarget target, SourceRevision revision) {
+        TargetState state = states.get(target.id());
+        boolean keep = state != null
+                && state.isLeaving()
+                && state.revision().epoch() < revision.epoch()
+                && target.isSameRun(state.target());
+        return keep ? target.asLeaving() : target;
+    }
+
     /** Records that all changes up to a read of the given age are known. */
     synchronized void updateAge(Duration age) {
         advanceKnownAsOf(timer.nanos() - age.toNanos());
@@ -160,9 +206,9 @@
         return known ? Optional.of(Duration.ofNanos(timer.nanos() - knownAsOf)) : Optional.empty();
     }
 
-    private void updateTarget(ForwardTarget target, long revision, long now, List<TargetState> leaving) {
+    private void updateTarget(ForwardTarget target, SourceRevision revision, long now, List<TargetState> leaving) {
         TargetState state = states.get(target.id());
-        if (state != null && state.revision() >= revision) {
+        if (state != null && !revision.isAfter(state.revision())) {
             return;
         }
         if (state == null) {
@@ -184,7 +230,7 @@
         }
     }
 
-    private void removeTarget(TargetState state, long revision, long now, List<TargetState> leaving) {
+    private void removeTarget(TargetState state, SourceRevision revision, long now, List<TargetState> leaving) {
         boolean wasLeaving = state.isLeaving();
         state.unpublish(revision);
         if (!wasLeaving) {
--- a/forward/src/main/java/org/verbenatally/forward/TargetState.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetState.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 
 import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.SourceRevision;
 
 /**
  * State of one target: its published description, the load of this instance and its peers there, and recent failures.
@@ -23,7 +24,7 @@
 
     private volatile ForwardTarget target;
     private volatile boolean unpublished;
-    private volatile long revision;
+    private volatile SourceRevision revision;
     private final Runnable onLoadChange;
     private final Set<InFlightRequest> inFlightRequests = ConcurrentHashMap.newKeySet();
     private final Set<InFlightRequest> copies = ConcurrentHashMap.newKeySet();
@@ -63,9 +64,9 @@
      * @param revision revision of the published list at which the target was written
      * @param onLoadChange called whenever the load of this instance at the target changes
      */
-    TargetState(ForwardTarget target, long revision, Runnable onLoadChange) {
+    TargetState(ForwardTarget target, SourceRevision revision, Runnable onLoadChange) {
         this.target = Objects.requireNonNull(target, "target");
-        this.revision = revision;
+        this.revision = Objects.requireNonNull(revision, "revision");
         this.onLoadChange = Objects.requireNonNull(onLoadChange, "onLoadChange");
     }
 
@@ -74,12 +75,12 @@
     }
 
     /** Returns the revision of the published list that this state reflects. */
-    long revision() {
+    SourceRevision revision() {
         return revision;
     }
 
     /** Records the target as it was published at a revision. */
-    void publish(ForwardTarget published, long atRevision) {
+    void publish(ForwardTarget published, SourceRevision atRevision) {
         if (!published.isSameRun(target)) {
             onRestart();
         }
@@ -89,7 +90,7 @@
     }
 
     /** Records that the published list no longer contains the target at a revision. */
-    void unpublish(long atRevision) {
+    void unpublish(SourceRevision atRevision) {
         unpublished = true;
         revision = atRevision;
     }
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -8,6 +8,7 @@
 
 import org.junit.jupiter.api.Test;
 import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.SourceRevision;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.time.ManualTimer;
 import org.verbenatally.wire.PublishedTarget;
@@ -21,7 +22,7 @@
 class TargetDirectoryTest {
     private static final InstanceId PEER = new InstanceId("peer");
     /** Revision later than those of all lists in these tests. */
-    private static final long LATER = 1_000_000;
+    private static final SourceRevision LATER = new SourceRevision(Targets.EPOCH, 1_000_000);
 
     private final ManualTimer timer = new ManualTimer();
     private final List<PublishedTarget> published = new ArrayList<>();
@@ -72,7 +73,8 @@
         directory.applyUpdates(List.of(
                 PublishedTargetCodec.encode(leaving("b"), LATER), PublishedTargetCodec.encode(ready("c"), LATER)));
         assertThat(candidates()).containsExactly("a", "c");
-        directory.applyUpdates(List.of(PublishedTargetCodec.encodeRemoval(new TargetId("c"), LATER + 1)));
+        directory.applyUpdates(List.of(PublishedTargetCodec.encodeRemoval(
+                new TargetId("c"), new SourceRevision(LATER.epoch(), LATER.number() + 1))));
         assertThat(candidates()).containsExactly("a");
         assertThat(published).isEmpty();
     }
@@ -81,7 +83,7 @@
     @Test
     void laterOwnReadOverridesSecondHandReport() {
         publish(ready("a"), ready("b"));
-        long before = Targets.list(List.of()).revision();
+        SourceRevision before = Targets.list(List.of()).revision();
         publish(ready("a"), ready("b"));
         directory.applyUpdates(List.of(PublishedTargetCodec.encodeRemoval(new TargetId("b"), before)));
         assertThat(candidates()).containsExactly("a", "b");
@@ -93,8 +95,9 @@
      */
     @Test
     void firstReadRemovesOnlyTargetsReadHere() {
-        directory.applyUpdates(
-                List.of(PublishedTargetCodec.encode(ready("a"), 0), PublishedTargetCodec.encode(ready("lapsed"), 0)));
+        SourceRevision early = new SourceRevision(Targets.EPOCH, 0);
+        directory.applyUpdates(List.of(
+                PublishedTargetCodec.encode(ready("a"), early), PublishedTargetCodec.encode(ready("lapsed"), early)));
         publish(ready("a"));
         assertThat(candidates()).containsExactly("a", "lapsed");
         timer.advance(Duration.ofMillis(2_100));
@@ -162,4 +165,108 @@
         publish(new ForwardTarget(a.id(), 2, a.service(), a.address(), a.failureDomain(), a.slots(), false, 0));
         assertThat(state.isSuspended(timer.nanos())).isFalse();
     }
+
+    private static SourceRevision restored(long number) {
+        return new SourceRevision(Targets.EPOCH + 1, number);
+    }
+
+    private void publishRestored(long number, ForwardTarget... targets) {
+        directory.applyPublished(Targets.list(restored(number), List.of(targets)));
+    }
+
+    private static ForwardTarget restarted(ForwardTarget target) {
+        return new ForwardTarget(
+                target.id(),
+                target.startedMs() + 1,
+                target.service(),
+                target.address(),
+                target.failureDomain(),
+                target.slots(),
+                target.leaving(),
+                target.coldMs());
+    }
+
+    /** Guards against new work for a target that reports its leaving at a revision that is given out again. */
+    @Test
+    void leavingIsNoticedAfterRevisionsWentBack() {
+        publish(ready("a"), ready("b"));
+        publishRestored(0, ready("a"), leaving("b"));
+        assertThat(candidates()).containsExactly("a");
+    }
+
+    /** Guards against a target that another instance reports as leaving at a revision that is given out again. */
+    @Test
+    void peerUpdateCountsAfterRevisionsWentBack() {
+        publish(ready("a"), ready("b"), ready("c"));
+        directory.applyUpdates(List.of(
+                PublishedTargetCodec.encode(leaving("b"), restored(0)),
+                PublishedTargetCodec.encodeRemoval(new TargetId("c"), restored(0))));
+        assertThat(candidates()).containsExactly("a");
+    }
+
+    /** Guards against targets that the restored list lacks: they must not be lost at once, nor kept for good. */
+    @Test
+    void missingTargetsAreRemovedOnceRestoredListHasSettled() {
+        publish(ready("a"), ready("b"));
+        timer.advance(Duration.ofSeconds(10));
+        publishRestored(0, ready("a"));
+        assertThat(candidates()).containsExactly("a", "b");
+        timer.advance(Duration.ofMillis(2_100));
+        publishRestored(0, ready("a"));
+        assertThat(candidates()).containsExactly("a");
+    }
+
+    /** Guards against a target without work whose record comes back at a lower revision. */
+    @Test
+    void targetsWrittenAgainAtLowerRevisionGetWork() {
+        publish(ready("a"), leaving("b"), ready("c"));
+        publish(ready("a"), ready("c"));
+        publishRestored(0, ready("a"), restarted(ready("b")), ready("c"), ready("d"));
+        assertThat(candidates()).containsExactly("a", "b", "c", "d");
+    }
+
+    /** Guards against new work for targets that have left, whose old records are in the copy of the list. */
+    @Test
+    void targetsThatHaveLeftStayOutWhenTheirOldRecordsComeBack() {
+        publish(ready("a"), ready("draining"), ready("gone"), ready("removed"));
+        publish(ready("a"), leaving("draining"), leaving("gone"));
+        publish(ready("a"), leaving("draining"));
+        published.clear();
+        publishRestored(0, ready("a"), ready("draining"), ready("gone"), ready("removed"));
+        assertThat(candidates()).containsExactly("a");
+        assertThat(published)
+                .filteredOn(record -> !record.getTarget().equals("a"))
+                .allMatch(record -> record.getEntry().isLeaving());
+        directory.applyUpdates(List.of(PublishedTargetCodec.encode(ready("removed"), restored(1))));
+        assertThat(candidates()).as("written again after the restore").containsExactly("a", "removed");
+        timer.advance(Duration.ofSeconds(31));
+        publishRestored(0, ready("a"), ready("draining"), ready("removed"));
+        publishRestored(0, ready("a"), ready("draining"), ready("removed"));
+        assertThat(candidates()).as("still listed long after").containsExactly("a", "draining", "removed");
+    }
+
+    /** Guards against records of before a restore that a peer which was cut off passes on after it. */
+    @Test
+    void lateRecordsOfEarlierEpochAreIgnored() {
+        publish(ready("a"), ready("b"), ready("c"));
+        publishRestored(0, ready("a"), leaving("b"));
+        timer.advance(Duration.ofMillis(2_100));
+        publishRestored(0, ready("a"), leaving("b"));
+        directory.applyUpdates(List.of(
+                PublishedTargetCodec.encodeRemoval(new TargetId("a"), LATER),
+                PublishedTargetCodec.encode(ready("b"), LATER),
+                PublishedTargetCodec.encode(ready("c"), LATER),
+                PublishedTargetCodec.encode(ready("unknown"), LATER)));
+        assertThat(candidates()).containsExactly("a");
+    }
+
+    /** Guards against an old answer of the source that arrives after one of the newer epoch. */
+    @Test
+    void listOfEarlierEpochIsIgnored() {
+        publish(ready("a"), ready("b"));
+        publishRestored(0, ready("a"), leaving("b"));
+        timer.advance(Duration.ofMillis(2_100));
+        publish(ready("b"), ready("c"));
+        assertThat(candidates()).containsExactly("a");
+    }
 }
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -86,13 +86,21 @@
   8: required i64 coldMs
 }
 
-/** A published entry as one instance has read it. The one with the highest revision counts; all instances pass it on. */
+/**
+ * A published entry as one instance has read it. The one of the newest epoch counts, and within an epoch the one with the
+ * highest revision; all instances pass it on.
+ */
 struct PublishedTarget {
   1: required string target,
   /** Revision of the platform's service at which the entry was written, or found missing. */
   2: required i64 revision,
   /** Absent if the target is no longer published. */
-  3: optional TargetEntry entry
+  3: optional TargetEntry entry,
+  /**
+   * Epoch of the platform's service at that revision, which grows whenever its revisions go back; absent: the newest one
+   * that the receiver knows.
+   */
+  4: optional i64 epoch
 }
 
 /** A request fingerprint that was running when a target died. */
