Keep links to peers that pass on an entry which is not accepted here

What would be seen: instances of two versions that differ in the entries which they accept close their links to each other again and again while an odd entry is published.

Cause: a record with an invalid entry was treated like a malformed frame.

Evidence: TargetDirectoryTest.oddEntryOfAPeerNamesNoTarget ended with an IllegalArgumentException before.

Change: such a record names no target, like a removal. An invalid id still closes the link.

--- a/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
@@ -31,21 +31,26 @@
     }
 
     /**
-     * Returns the target of a record, or empty if it is no longer published.
+     * Returns the target of a record, or empty if it is no longer published or its entry is not valid: instances of
+     * different versions may differ in the entries that they accept, and such a record must not close their link.
      *
-     * @throws IllegalArgumentException if a field is not valid; the message names it
+     * @throws IllegalArgumentException if the id of the target is not valid
      */
     static Optional<ForwardTarget> decode(PublishedTarget published) {
         TargetId id = new TargetId(published.getTarget());
-        return Optional.ofNullable(published.getEntry())
-                .map(e -> new ForwardTarget(
-                        id,
-                        e.getStartedMs(),
-                        new ServiceName(e.getServiceName()),
-                        new Address(e.getHost(), e.getPort()),
-                        new FailureDomain(e.getFailureDomain()),
-                        e.getSlots(),
-                        e.isLeaving(),
-                        e.getColdMs()));
+        try {
+            return Optional.ofNullable(published.getEntry())
+                    .map(e -> new ForwardTarget(
+                            id,
+                            e.getStartedMs(),
+                            new ServiceName(e.getServiceName()),
+                            new Address(e.getHost(), e.getPort()),
+                            new FailureDomain(e.getFailureDomain()),
+                            e.getSlots(),
+                            e.isLeaving(),
+                            e.getColdMs()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
     }
 }
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -77,6 +77,18 @@
         assertThat(published).isEmpty();
     }
 
+    /** Guards against a link that is closed because a peer of another version has accepted an odd entry. */
+    @Test
+    void oddEntryOfAPeerNamesNoTarget() {
+        publish(ready("a"), ready("b"));
+        PublishedTarget odd = PublishedTargetCodec.encode(ready("b"), LATER);
+        odd.getEntry().setSlots(-1);
+        PublishedTarget unknown = PublishedTargetCodec.encode(ready("c"), LATER);
+        unknown.getEntry().setPort(0);
+        directory.applyUpdates(List.of(odd, unknown));
+        assertThat(candidates()).containsExactly("a");
+    }
+
     /** Guards against applying an old second-hand report about a target that has been published again. */
     @Test
     void laterOwnReadOverridesSecondHandReport() {
