--- a/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardTarget.java
@@ -29,12 +29,19 @@
         boolean leaving,
         long coldMs) {
 
-    /** Checks that no component is {@code null}. */
+    /**
+     * Checks the components.
+     *
+     * @throws IllegalArgumentException if a number is negative
+     */
     public ForwardTarget {
         Objects.requireNonNull(id, "id");
         Objects.requireNonNull(service, "service");
         Objects.requireNonNull(address, "address");
         Objects.requireNonNull(failureDomain, "failureDomain");
+        if (startedMs < 0 || slots < 0 || coldMs < 0) {
+            throw new IllegalArgumentException("target " + id + ": start, slots and cold time must not be negative");
+        }
     }
 
     /** Returns whether both descriptions are of the same target, with no restart in between. */
