Refuse configurations with numbers that are out of range

What would be seen: a timeout of 2^63 - 1 ms is accepted, and then each request of its route ends without a response (ArithmeticException); a weight of 2^32 + 1 acts as 1; a memory of 0 tokens makes the cost of each engine infinite.

Cause: as with targets, numbers were cut and other types replaced by a default.

Weights are summed as long.

--- a/forward/src/main/java/org/verbenatally/forward/Route.java
+++ b/forward/src/main/java/org/verbenatally/forward/Route.java
@@ -43,13 +43,25 @@
      * @param service the service
      * @param weight its weight relative to the other shares; not negative
      */
-    public record Share(ServiceName service, int weight) {}
+    public record Share(ServiceName service, int weight) {
+        /**
+         * Checks the components.
+         *
+         * @throws IllegalArgumentException if the weight is negative
+         */
+        public Share {
+            Objects.requireNonNull(service, "service");
+            if (weight < 0) {
+                throw new IllegalArgumentException("weight of " + service + " must not be negative");
+            }
+        }
+    }
 
     /**
      * Checks the components.
      *
-     * @throws IllegalArgumentException if the prefix does not begin and end with a slash, there is no share, or no
-     *     attempt is allowed
+     * @throws IllegalArgumentException if the prefix does not begin and end with a slash, there is no share, no attempt
+     *     is allowed, or a time or the priority is negative
      */
     public Route {
         Objects.requireNonNull(name, "name");
@@ -61,6 +73,12 @@
         if (!pathPrefix.startsWith("/") || !pathPrefix.endsWith("/")) {
             throw new IllegalArgumentException("route " + name + ": path prefix must begin and end with a slash");
         }
+        if (timeout.isNegative()
+                || objective.isNegative()
+                || eventGapObjective.filter(Duration::isNegative).isPresent()
+                || priority < 0) {
+            throw new IllegalArgumentException("route " + name + ": times and priority must not be negative");
+        }
         if (shares.isEmpty() || maxAttempts < 1) {
             throw new IllegalArgumentException("route " + name + ": at least one service and one attempt are required");
         }
@@ -68,11 +86,11 @@
 
     /** Returns the service for a request. The same choice gives the same service while the weights stay the same. */
     ServiceName service(int choice) {
-        int total = shares.stream().mapToInt(Share::weight).sum();
+        long total = shares.stream().mapToLong(Share::weight).sum();
         if (total <= 0) {
             return shares.getFirst().service();
         }
-        int remaining = Math.floorMod(choice, total);
+        long remaining = Math.floorMod((long) choice, total);
         for (Share share : shares) {
             remaining -= share.weight();
             if (remaining < 0) {
--- a/forward/src/main/java/org/verbenatally/forward/ServiceSpec.java
+++ b/forward/src/main/java/org/verbenatally/forward/ServiceSpec.java
@@ -22,12 +22,29 @@
      * @param supportsBackups whether an engine can keep a backup of a running generation up to date at another engine
      * @param tokensPerEvent tokens in one event of a stream
      */
-    public record EngineTraits(
-            long memoryTokens, boolean supportsCopies, boolean supportsBackups, int tokensPerEvent) {}
+    public record EngineTraits(long memoryTokens, boolean supportsCopies, boolean supportsBackups, int tokensPerEvent) {
+        /**
+         * Checks the components.
+         *
+         * @throws IllegalArgumentException if a number is not positive
+         */
+        public EngineTraits {
+            if (memoryTokens < 1 || tokensPerEvent < 1) {
+                throw new IllegalArgumentException("memory and tokens per event must be positive");
+            }
+        }
+    }
 
-    /** Checks that no component is {@code null}. */
+    /**
+     * Checks the components.
+     *
+     * @throws IllegalArgumentException if the number of connections is negative
+     */
     public ServiceSpec {
         Objects.requireNonNull(name, "name");
         Objects.requireNonNull(engine, "engine");
+        if (maxConnections < 0) {
+            throw new IllegalArgumentException("service " + name + ": connections must not be negative");
+        }
     }
 }
