Skip single instances in the platform's list that cannot be read

What was seen: one instance in the list with an invalid field, a value nested more than 1,000 deep or a number of more than 1,000 digits, even in a field that is not read, ended the use of the list, silently but for a debug line. An invalid id of a leaving target made a listener fail, which ended the task that reads the list.

--- a/core/src/main/java/org/verbenatally/peer/PlatformInstance.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformInstance.java
@@ -4,6 +4,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import org.verbenatally.core.Address;
+import org.verbenatally.core.InstanceId;
+import org.verbenatally.core.TargetId;
 
 /**
  * An instance in the platform's instance list, which may be out of date.
@@ -35,16 +37,30 @@
                     case "service" -> Role.SERVICE;
                     default -> throw new IllegalArgumentException("role must be entry, engine or service");
                 };
+        String id = text(item, "id");
+        if (role == Role.ENTRY) {
+            new InstanceId(id);
+        } else {
+            new TargetId(id);
+        }
         String host = text(item, "host");
-        int peerPort = item.path("peerPort").asInt(0);
+        int peerPort = item.has("peerPort") ? integer(item, "peerPort") : 0;
         return new PlatformInstance(
-                text(item, "id"),
+                id,
                 role,
-                new Address(host, item.path("port").asInt()),
+                new Address(host, integer(item, "port")),
                 peerPort == 0 ? Optional.empty() : Optional.of(new Address(host, peerPort)),
                 "leaving".equals(item.path("state").asText()));
     }
 
+    private static int integer(JsonNode item, String field) {
+        JsonNode value = item.path(field);
+        if (!value.isIntegralNumber() || !value.canConvertToInt()) {
+            throw new IllegalArgumentException(field + " must be an integer");
+        }
+        return value.intValue();
+    }
+
     private static String text(JsonNode item, String field) {
         JsonNode value = item.path(field);
         if (!value.isTextual()) {
