Reject documents whose reading fails in an unexpected way

What was seen: after a document whose bytes are no characters (UTF-32 outside Unicode), an instance never read the configuration from the platform again. A peer that had passed on such a document would have lost its link each time.

Cause: Jackson reports this as an IOException that is no JsonProcessingException. It left JsonChecker as UncheckedIOException, and ended the reading task.

Evidence: ConfigReaderTest.oddDocumentIsRejected[37] and FaultTest.documentIsReadAfterAnOddOne[37] ('condition not met in PT20S') failed before; the other 37 odd documents were rejected then as now.

Change: JsonChecker reports the fault, and ConfigPropagator rejects and remembers a document whose reader throws any RuntimeException.

--- a/core/src/main/java/org/verbenatally/config/JsonChecker.java
+++ b/core/src/main/java/org/verbenatally/config/JsonChecker.java
@@ -80,7 +80,9 @@
         } catch (JsonProcessingException e) {
             throw new ConfigException(source, List.of(syntaxFault(e)));
         } catch (IOException e) {
-            throw new UncheckedIOException(e);
+            // Bytes that are no characters in the encoding that their beginning suggests.
+            throw new ConfigException(
+                    source, List.of(new ConfigException.Fault(0, "", "must be valid JSON: " + e.getMessage())));
         }
     }
 
--- a/core/src/main/java/org/verbenatally/peer/ConfigPropagator.java
+++ b/core/src/main/java/org/verbenatally/peer/ConfigPropagator.java
@@ -249,33 +249,42 @@
                 return false;
             }
         }
+        ConfigDocumentInForce<D> document;
         try {
-            ConfigDocumentInForce<D> document = reader.readDocument(source, body);
+            document = reader.readDocument(source, body);
             if (!document.deployment().name().equals(deployment)) {
                 throw new ConfigException(
                         source, List.of(new ConfigException.Fault(0, "/deployment", "must be \"" + deployment + "\"")));
             }
-            // Called to report a conflict, if any; the holder compares the documents again under its own lock.
-            isHigher(document.deployment().version().value(), digest);
-            ConfigDocumentInForce<D> before = highest().orElse(null);
-            if (highestSeen.offer(document)) {
-                previous = before == null ? null : new BaseDocument(before.digest(), before.body());
-                LOG.infof(
-                        "config: read version %s from %s", document.deployment().version(), source);
-                if (started) {
-                    putInForce(document);
-                }
-            }
-            return true;
         } catch (ConfigException e) {
-            synchronized (this) {
-                rejected.add(digestHex);
-            }
-            rejections.incrementAndGet();
-            lastFault = e.getMessage();
-            LOG.errorf("config: rejected a document, the one in force is kept: %s", e.getMessage());
+            reject(digestHex, e.getMessage());
             return false;
+        } catch (RuntimeException e) {
+            // Each further read would fail in the same way, and close the link to each peer that has the document.
+            LOG.errorf(e, "config: a document from %s cannot be read", source);
+            reject(digestHex, String.valueOf(e.getMessage()));
+            return false;
+        }
+        // Called to report a conflict, if any; the holder compares the documents again under its own lock.
+        isHigher(document.deployment().version().value(), digest);
+        ConfigDocumentInForce<D> before = highest().orElse(null);
+        if (highestSeen.offer(document)) {
+            previous = before == null ? null : new BaseDocument(before.digest(), before.body());
+            LOG.infof("config: read version %s from %s", document.deployment().version(), source);
+            if (started) {
+                putInForce(document);
+            }
+        }
+        return true;
+    }
+
+    private void reject(String digestHex, String fault) {
+        synchronized (this) {
+            rejected.add(digestHex);
         }
+        rejections.incrementAndGet();
+        lastFault = fault;
+        LOG.errorf("config: rejected a document, the one in force is kept: %s", fault);
     }
 
     /** Ends the collection of documents at startup and puts the highest one in force. */
--- a/core/src/test/java/org/verbenatally/config/ConfigReaderTest.java
+++ b/core/src/test/java/org/verbenatally/config/ConfigReaderTest.java
@@ -94,6 +94,33 @@
         assertThat(e).hasMessageContaining("at most 1048576 bytes");
     }
 
+    /** Returns documents with values that no field accepts, and bytes that are no document. */
+    public static Stream<byte[]> oddDocuments() throws IOException {
+        String text = new String(example("abay"), StandardCharsets.UTF_8);
+        Stream<String> numbers = Stream.of(
+                        "1e400", "-1e400", "-1", "1.5", "9".repeat(30), "9".repeat(5_000), "NaN", "{}")
+                .flatMap(value -> Stream.of("\"version\": 1", "\"port\": 9102", "\"objective\": 0.95")
+                        .map(field -> text.replace(field, field.replaceFirst("[0-9.]+$", value))));
+        Stream<String> nested = Stream.of(990, 1_001, 100_000)
+                .flatMap(depth -> Stream.of(
+                        "[".repeat(depth) + "]".repeat(depth), "{\"x\":".repeat(depth) + "1" + "}".repeat(depth)))
+                .map(value -> text.replace("\"version\": 1", "\"version\": 1, \"unread\": " + value));
+        Stream<String> others = Stream.of("", "null", "7", "[]", "{}", text + "x");
+        // Four bytes a character, the second of them outside Unicode.
+        Stream<byte[]> bytes = Stream.of(
+                new byte[] {0, 0, 0, '[', 0x7f, 0, 0, ' '}, new byte[] {'{', '"', (byte) 0xc0, (byte) 0x80, '"', '}'});
+        return Stream.concat(
+                Stream.of(numbers, nested, others).flatMap(s -> s).map(t -> t.getBytes(StandardCharsets.UTF_8)), bytes);
+    }
+
+    /** Guards against a document whose rejection fails in another way than the reading tasks expect. */
+    @ParameterizedTest
+    @MethodSource("oddDocuments")
+    void oddDocumentIsRejected(byte[] odd) {
+        assertThat(catchThrowableOfType(ConfigException.class, () -> ConfigReader.read("test", odd)))
+                .isNotNull();
+    }
+
     /** Guards against an example that does not start, and against invalid seeds that are detected only on first use. */
     @Test
     void readsSettingsAndRejectsInvalidSeed() throws Exception {
--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenatally.config.ConfigReader;
 import org.verbenatally.core.Address;
@@ -102,6 +103,19 @@
                         assertThat(n.config.document().orElseThrow().body()).isEqualTo(winner));
     }
 
+    /** Guards against a document whose reading fails in an unexpected way and ends the task that reads documents. */
+    @ParameterizedTest
+    @MethodSource("org.verbenatally.config.ConfigReaderTest#oddDocuments")
+    void documentIsReadAfterAnOddOne(byte[] odd) throws Exception {
+        Address platform = startPlatform();
+        served.put(platform, odd);
+        Fleet.Node node = fleet.start("e1", Optional.of(platform), fleet.timers);
+        Fleet.await(() -> node.peers.stats().configRejections() > 0);
+        served.put(platform, Fleet.document(4, "sound"));
+        Fleet.await(() -> node.version() == 4);
+        assertThat(node.peers.stats().configRejections()).isEqualTo(1);
+    }
+
     /**
      * Guards against complete documents sent on all links for each small change, which would exceed the traffic limit.
      */
