Go on reading from the platform after an unexpected exception

What would be seen: an exception in the use of one instance list or configuration ends the reading of all later ones, while the process goes on.

Evidence: FaultTest.instanceListIsReadAfterAFailure failed before ('condition not met in PT20S').

Change: both tasks of PlatformReader log the exception and go on.

--- a/core/src/main/java/org/verbenatally/peer/PlatformReader.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformReader.java
@@ -79,7 +79,7 @@
                 long start = System.nanoTime();
                 Duration wait = isReader() ? timings.longPollTimeout() : Duration.ZERO;
                 reads.incrementAndGet();
-                boolean succeeded = propagator.read(client, wait);
+                boolean succeeded = readConfig(wait);
                 boolean waited = System.nanoTime() - start > wait.toNanos() / 2 && wait.isPositive();
                 if (succeeded && (waited || propagator.version() > before)) {
                     backoff = timings.gossipPeriod().toNanos();
@@ -94,6 +94,16 @@
         }
     }
 
+    /** Reads the configuration; an unexpected exception, such as one of a listener, must not end the task. */
+    private boolean readConfig(Duration wait) throws InterruptedException {
+        try {
+            return propagator.read(client, wait);
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "config: reading failed, will be retried");
+            return false;
+        }
+    }
+
     /** Waits for a poll period with jitter, or until this instance becomes a reader. */
     private void awaitNextPoll() throws InterruptedException {
         double jitter = 0.5 + random.nextDouble();
@@ -122,7 +132,7 @@
     /** Reads the configuration once, without a long poll. */
     void readConfigOnce() throws InterruptedException {
         reads.incrementAndGet();
-        propagator.read(client, Duration.ZERO);
+        readConfig(Duration.ZERO);
     }
 
     /** Reads the instance list once; after a failure the next read tries again. */
@@ -130,13 +140,22 @@
         try {
             reads.incrementAndGet();
             List<PlatformInstance> list = client.instances().get();
-            listeners.forEach(l -> l.accept(list));
+            listeners.forEach(l -> notify(l, list));
         } catch (ExecutionException e) {
             LOG.debugf(
                     "peer: reading the instance list failed: %s", e.getCause().getMessage());
         }
     }
 
+    /** Passes a list on; an exception must not end the task that reads the lists. */
+    private static void notify(Consumer<List<PlatformInstance>> listener, List<PlatformInstance> list) {
+        try {
+            listener.accept(list);
+        } catch (RuntimeException e) {
+            LOG.errorf(e, "peer: the instance list could not be applied");
+        }
+    }
+
     void close() {
         closed = true;
         if (configTask != null) {
--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -33,6 +34,8 @@
 
     /** The document that each platform stand-in serves; a stand-in without one responds as if it were down. */
     private final Map<Address, byte[]> served = new ConcurrentHashMap<>();
+    /** The instance list that all platform stand-ins serve, if any. */
+    private volatile byte[] instances;
 
     @AfterEach
     void close() throws Exception {
@@ -43,7 +46,7 @@
         HttpServer server = fleet.vertx.createHttpServer();
         Address[] address = new Address[1];
         server.requestHandler(request -> {
-            byte[] body = request.path().equals("/v1/config") ? served.get(address[0]) : null;
+            byte[] body = request.path().equals("/v1/config") ? served.get(address[0]) : instances;
             request.response()
                     .setStatusCode(body == null ? 503 : 200)
                     .end(Buffer.buffer(body == null ? new byte[0] : body));
@@ -116,6 +119,19 @@
         assertThat(node.peers.stats().configRejections()).isEqualTo(1);
     }
 
+    /** Guards against a failure in the use of the instance list that ends the task that reads the list. */
+    @Test
+    void instanceListIsReadAfterAFailure() throws Exception {
+        instances = "[]".getBytes();
+        Fleet.Node node = fleet.start("e1", Optional.of(startPlatform()), fleet.timers);
+        AtomicInteger lists = new AtomicInteger();
+        node.peers.addInstancesListener(list -> {
+            lists.incrementAndGet();
+            throw new IllegalStateException("simulated");
+        });
+        Fleet.await(() -> lists.get() > 2);
+    }
+
     /**
      * Guards against complete documents sent on all links for each small change, which would exceed the traffic limit.
      */
