--- a/entry/src/test/java/org/verbenatally/entry/target/LoadPollerTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/target/LoadPollerTest.java
@@ -2,11 +2,15 @@
 
 import java.util.List;
 import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
+import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenatally.config.Target;
 import org.verbenatally.config.TargetType;
 import org.verbenatally.core.Address;
@@ -17,6 +21,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowable;
 
 class LoadPollerTest {
     private static final Target ENGINE = target(TargetType.ENGINE);
@@ -77,6 +82,19 @@
                 .hasMessageStartingWith(field);
     }
 
+    /** Guards against a report that exhausts the stack of the thread that reads it. */
+    @ParameterizedTest
+    @ValueSource(ints = {990, 1_001, 8_000})
+    void nestedReportIsMalformedAtWorst(int depth) throws Exception {
+        CompletableFuture<Throwable> result = new CompletableFuture<>();
+        String nested =
+                report().put("models", List.of()).toString().replace("[]", "[".repeat(depth) + "]".repeat(depth));
+        Runnable read = () -> result.complete(catchThrowable(() -> LoadPoller.parse(ENGINE, new JsonObject(nested))));
+        new Thread(null, read, "small-stack", 1 << 18).start();
+        assertThat(result.get(20, TimeUnit.SECONDS))
+                .isInstanceOfAny(IllegalArgumentException.class, DecodeException.class);
+    }
+
     /** Guards against plain services whose reports are ignored because they have fewer fields than those of engines. */
     @Test
     void plainServiceMayOmitFieldsOfEngines() {
