--- a/core/src/test/java/org/verbenatally/peer/FaultTest.java
+++ b/core/src/test/java/org/verbenatally/peer/FaultTest.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpServer;
@@ -15,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.verbenatally.config.ConfigReader;
 import org.verbenatally.core.Address;
@@ -32,6 +34,8 @@
 
     /** The document that each platform stand-in serves; a stand-in without one responds as if it were down. */
     private final Map<Address, byte[]> served = new ConcurrentHashMap<>();
+    /** The instance list that all platform stand-ins serve, if any. */
+    private volatile byte[] instances;
 
     @AfterEach
     void close() throws Exception {
@@ -42,7 +46,7 @@
         HttpServer server = fleet.vertx.createHttpServer();
         Address[] address = new Address[1];
         server.requestHandler(request -> {
-            byte[] body = request.path().equals("/v1/config") ? served.get(address[0]) : null;
+            byte[] body = request.path().equals("/v1/config") ? served.get(address[0]) : instances;
             request.response()
                     .setStatusCode(body == null ? 503 : 200)
                     .end(Buffer.buffer(body == null ? new byte[0] : body));
@@ -102,6 +106,32 @@
                         assertThat(n.config.document().orElseThrow().body()).isEqualTo(winner));
     }
 
+    /** Guards against a document whose reading fails in an unexpected way and ends the task that reads documents. */
+    @ParameterizedTest
+    @MethodSource("org.verbenatally.config.ConfigReaderTest#oddDocuments")
+    void documentIsReadAfterAnOddOne(byte[] odd) throws Exception {
+        Address platform = startPlatform();
+        served.put(platform, odd);
+        Fleet.Node node = fleet.start("e1", Optional.of(platform), fleet.timers);
+        Fleet.await(() -> node.peers.stats().configRejections() > 0);
+        served.put(platform, Fleet.document(4, "sound"));
+        Fleet.await(() -> node.version() == 4);
+        assertThat(node.peers.stats().configRejections()).isEqualTo(1);
+    }
+
+    /** Guards against a failure in the use of the instance list that ends the task that reads the list. */
+    @Test
+    void instanceListIsReadAfterAFailure() throws Exception {
+        instances = "[]".getBytes();
+        Fleet.Node node = fleet.start("e1", Optional.of(startPlatform()), fleet.timers);
+        AtomicInteger lists = new AtomicInteger();
+        node.peers.addInstancesListener(list -> {
+            lists.incrementAndGet();
+            throw new IllegalStateException("simulated");
+        });
+        Fleet.await(() -> lists.get() > 2);
+    }
+
     /**
      * Guards against complete documents sent on all links for each small change, which would exceed the traffic limit.
      */
