Let the tables of published targets converge after a restore

Callers would see: requests sent to a target that had left, after a restore, if an instance of an earlier release or one that had read the copy first passed on its record. Cause: a record without an epoch was taken to be of the newest one, also where it was of before the restore. Of two records of the same revision, the one that came first stayed. A record that differed only in its epoch was not passed on, so that each instance of a large fleet learned of a restore with its own next read. Evidence: PublishedTableTest on the code before: recordWithoutEpochIsOlderOnceTheSourceWasRestored, leavingRecordWinsAtTheSameRevision and newerEpochIsPassedOn failed. Change: records without an epoch count as earlier once there are several epochs; a leaving record wins at the same revision; a newer epoch is a change. Result: PublishedTableTest and TcpPeerNetworkTest pass.

--- a/core/src/main/java/org/verbenatally/peer/PublishedTable.java
+++ b/core/src/main/java/org/verbenatally/peer/PublishedTable.java
@@ -12,17 +12,21 @@
 import org.verbenatally.wire.TargetEntry;
 
 /**
- * The published targets, which instances replicate to each other; the highest revision of each target wins.
+ * The published targets, which instances replicate to each other; the latest revision of each target wins, and of two
+ * records of the same revision the one that is leaving.
  * Thread-safe.
  */
 final class PublishedTable {
     private final TimerService timers;
     private final Duration retention;
-    private final ReplicatedTable<String, PublishedTarget> targets =
-            new ReplicatedTable<>(Comparator.comparing(PublishedTable::revision), PublishedTable::isSameContent);
+    private final ReplicatedTable<String, PublishedTarget> targets = new ReplicatedTable<>(
+            Comparator.comparing(PublishedTable::revision).thenComparing(PublishedTable::isLeaving),
+            PublishedTable::isSameContent);
     private final Map<String, Long> unpublishedAt = new HashMap<>();
     /** The newest epoch of all records stored so far, 0 if none stated one. */
     private long newestEpoch;
+    /** Whether records of more than one epoch were stored. */
+    private boolean restored;
 
     /**
      * Creates an empty table.
@@ -39,11 +43,18 @@
         return new SourceRevision(target.getEpoch(), target.getRevision());
     }
 
+    private static boolean isLeaving(PublishedTarget target) {
+        return target.getEntry() != null && target.getEntry().isLeaving();
+    }
+
     /**
-     * Returns whether two published targets differ only in their revision, which changes with each heartbeat, or in the
-     * remaining time of a slow start, whose end alone counts as a change.
+     * Returns whether two published targets differ only in their revision within an epoch, which changes with each
+     * heartbeat, or in the remaining time of a slow start, whose end alone counts as a change.
      */
     private static boolean isSameContent(PublishedTarget a, PublishedTarget b) {
+        if (a.getEpoch() != b.getEpoch()) {
+            return false;
+        }
         TargetEntry before = a.getEntry();
         TargetEntry after = b.getEntry();
         if (before == null || after == null) {
@@ -58,10 +69,11 @@
 
     /**
      * Returns a record that a peer has sent, with its epoch. Instances of an earlier release state none; their records
-     * are taken to be of the newest epoch known here.
+     * are taken to be of the only epoch known here. Once there are several, they count as earlier than all of them,
+     * since such an instance does not know which of its records are of before the restore.
      */
     synchronized PublishedTarget withEpoch(PublishedTarget received) {
-        return received.isSetEpoch() || newestEpoch == 0
+        return received.isSetEpoch() || newestEpoch == 0 || restored
                 ? received
                 : received.deepCopy().setEpoch(newestEpoch);
     }
@@ -73,6 +85,7 @@
      * @return whether it changed
      */
     synchronized boolean put(PublishedTarget target, int sourceLink) {
+        restored |= newestEpoch != 0 && target.isSetEpoch() && target.getEpoch() != newestEpoch;
         newestEpoch = Math.max(newestEpoch, target.getEpoch());
         boolean changed = targets.put(target.getTarget(), target, sourceLink);
         if (changed && target.getEntry() == null) {
--- a/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
+++ b/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
@@ -75,4 +75,31 @@
         PublishedTarget stated = publishedTarget(11, true, 0).setEpoch(1);
         assertThat(table.withEpoch(stated)).isEqualTo(stated);
     }
+
+    /** Guards against instances of an earlier release that undo a departure with records of before a restore. */
+    @Test
+    void recordWithoutEpochIsOlderOnceTheSourceWasRestored() {
+        table.put(publishedTarget(9, false, 0).setEpoch(1), ReplicatedTable.LOCAL);
+        table.put(publishedTarget(4, true, 0).setEpoch(2), ReplicatedTable.LOCAL);
+        assertThat(table.put(table.withEpoch(publishedTarget(9, false, 0)), LINK))
+                .isFalse();
+    }
+
+    /** Guards against tables that stay different because of who has read the copy of a record first. */
+    @Test
+    void leavingRecordWinsAtTheSameRevision() {
+        table.put(publishedTarget(3, false, 0).setEpoch(2), ReplicatedTable.LOCAL);
+        assertThat(table.put(publishedTarget(3, true, 0).setEpoch(2), LINK)).isTrue();
+        assertThat(table.put(publishedTarget(3, false, 0).setEpoch(2), LINK)).isFalse();
+        assertThat(table.changes(0, LINK + 1, 10).values())
+                .containsExactly(publishedTarget(3, true, 0).setEpoch(2));
+    }
+
+    /** Guards against a large fleet most of which learns of a restore only with its own next read. */
+    @Test
+    void newerEpochIsPassedOn() {
+        table.put(publishedTarget(3, false, 0).setEpoch(1), ReplicatedTable.LOCAL);
+        assertThat(table.put(publishedTarget(2, false, 0).setEpoch(2), ReplicatedTable.LOCAL))
+                .isTrue();
+    }
 }
