Believe the source whatever epoch a peer states

Callers would see: requests sent to targets that have left, and none to new ones, on all instances for good, once one instance had stated a wrong epoch; and requests sent to a target whose leaving a peer reports at the same revision. Cause: an own list was dropped if its epoch was lower than any that a peer had stated; a record of the same revision never counted. Evidence: TargetDirectoryTest on the code before: ownListCountsWhateverEpochAPeerStates and leavingOfAPeerCountsAtTheSameRevision failed. Change: only epochs that the source has stated itself make its list an old one; leaving wins at the same revision. Result: TargetDirectoryTest passes.

--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -54,8 +54,13 @@
 
     private boolean reachable;
     private long reachableSince;
+    /** Newest epoch that this instance has heard of, and since when; targets that are missing are kept for a while. */
     private long epoch;
+
     private long epochSince;
+    /** Epoch of the latest list that this instance has read itself. */
+    private long ownEpoch;
+
     private boolean known;
     private long knownAsOf;
 
@@ -92,13 +97,15 @@
         List<PublishedTarget> read = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
-            if (list.revision().epoch() < epoch) {
+            // Only what the source itself has stated makes its list an old one; a peer may be wrong.
+            if (list.revision().epoch() < ownEpoch) {
                 LogEvent.of("directory.oldEpoch")
                         .with("revision", list.revision())
-                        .with("epoch", epoch)
+                        .with("epoch", ownEpoch)
                         .info(LOG);
                 return;
             }
+            ownEpoch = list.revision().epoch();
             beginEpoch(list.revision().epoch(), now);
             if (!reachable) {
                 reachable = true;
@@ -145,7 +152,7 @@
                 TargetState state = states.get(id);
                 SourceRevision revision = PublishedTargetCodec.revision(update);
                 beginEpoch(revision.epoch(), now);
-                if (revision.epoch() < epoch && isEpochSettled(now)) {
+                if (revision.epoch() < ownEpoch && isEpochSettled(now)) {
                     continue;
                 }
                 Optional<ForwardTarget> target = PublishedTargetCodec.decode(update);
@@ -208,7 +215,7 @@
 
     private void updateTarget(ForwardTarget target, SourceRevision revision, long now, List<TargetState> leaving) {
         TargetState state = states.get(target.id());
-        if (state != null && !revision.isAfter(state.revision())) {
+        if (state != null && !isNews(target, revision, state)) {
             return;
         }
         if (state == null) {
@@ -230,6 +237,12 @@
         }
     }
 
+    /** Returns whether a record counts: it is later, or has the same revision but keeps a leaving target out. */
+    private static boolean isNews(ForwardTarget target, SourceRevision revision, TargetState state) {
+        return revision.isAfter(state.revision())
+                || revision.equals(state.revision()) && target.leaving() && !state.isLeaving();
+    }
+
     private void removeTarget(TargetState state, SourceRevision revision, long now, List<TargetState> leaving) {
         boolean wasLeaving = state.isLeaving();
         state.unpublish(revision);
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -281,4 +281,26 @@
         publish(ready("b"), ready("c"));
         assertThat(candidates()).containsExactly("a");
     }
+
+    /** Guards against a directory that no longer believes the source, because a peer states an absurd epoch. */
+    @Test
+    void ownListCountsWhateverEpochAPeerStates() {
+        publish(ready("a"), ready("b"));
+        directory.applyUpdates(List.of(
+                PublishedTargetCodec.encodeRemoval(new TargetId("unknown"), new SourceRevision(Long.MAX_VALUE, 1))));
+        timer.advance(Duration.ofMillis(2_100));
+        publish(ready("a"), leaving("b"), ready("c"));
+        assertThat(candidates()).containsExactly("a", "c");
+    }
+
+    /** Guards against a target that gets work because the copy of its record was read here before a peer spoke. */
+    @Test
+    void leavingOfAPeerCountsAtTheSameRevision() {
+        publish(ready("a"), ready("b"));
+        publishRestored(0, ready("a"), ready("b"));
+        directory.applyUpdates(List.of(PublishedTargetCodec.encode(leaving("b"), restored(0))));
+        assertThat(candidates()).containsExactly("a");
+        publishRestored(0, ready("a"), ready("b"));
+        assertThat(candidates()).containsExactly("a");
+    }
 }
