--- a/forward/src/main/java/org/verbenatally/forward/RequestHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/RequestHead.java
@@ -28,7 +28,7 @@
         List<PromptPartId> sharedParts) {
 
     /** Longest timeout that is counted; a longer one is treated as this one, so that deadlines cannot overflow. */
-    static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
+    private static final Duration MAX_CALLER_TIMEOUT = Duration.ofDays(1);
 
     /** Checks that id, host, path and parts are not {@code null}. */
     public RequestHead {
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -23,7 +23,7 @@
      * lifetime.
      */
     private static final int MAX_CONTINUATIONS = 8;
-    /** A generation whose engines broke off this often without notice is not given to another one. */
+    /** A generation that has lost this many engines without notice is not given to another one. */
     private static final int MAX_LOSSES = 2;
     /** Longest wait for an engine to continue from a copy. */
     private static final Duration CONTINUE_TIMEOUT = Duration.ofSeconds(2);
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -17,7 +17,8 @@
 
 /**
  * Forwards one generation. Complete events are passed to the caller as they arrive. If the engine leaves, dies or stops
- * sending events, the generation continues from a copy at another engine.
+ * sending events, the generation continues from a copy at another engine. An engine that may still run the generation
+ * keeps it until another one has accepted it.
  */
 final class StreamRun {
     private static final Logger LOG = Logger.getLogger(StreamRun.class);
