Give only the tests of idle connections a short idle timeout

Cause: the fixture's idle timeout of 1 s, new for IdleConnectionsTest, held for all tests; on the busy machine more than a second passed between the connect and the request, so that the instance closed the connection rightly. Change: the fixture's timeout is 2 minutes, and that of IdleConnectionsTest 2 s, with shorter pauses in between and a longer wait for the close.

--- a/forward/src/test/java/org/verbenatally/forward/BodyMemoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/BodyMemoryTest.java
@@ -24,7 +24,8 @@
     @Test
     void responseIsPassedOnAsItArrivesWithoutMemoryToBufferIt() throws Exception {
         Semaphore firstHalfRead = new Semaphore(0);
-        try (var fixture = new ForwardFixture(Duration.ofSeconds(10), new TestCodec(), new BodyMemory(1));
+        try (var fixture = new ForwardFixture(
+                        Duration.ofSeconds(10), Duration.ofMinutes(2), new TestCodec(), new BodyMemory(1));
                 var target = new RawTarget((head, out, socket) -> {
                     RawTarget.write(
                             out,
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -33,7 +33,9 @@
 final class ForwardFixture implements AutoCloseable {
     static final ServiceName CALLS = new ServiceName("calls");
     static final ServiceName ENGINES = new ServiceName("engines");
-    static final Duration IDLE_TIMEOUT = Duration.ofSeconds(1);
+    /** Longer than any test. */
+    private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
+
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     final Vertx vertx = Vertx.vertx();
@@ -54,10 +56,11 @@
     }
 
     ForwardFixture(Duration timeout, HttpMessageCodec codec) throws IOException {
-        this(timeout, codec, new BodyMemory());
+        this(timeout, IDLE_TIMEOUT, codec, new BodyMemory());
     }
 
-    ForwardFixture(Duration timeout, HttpMessageCodec codec, BodyMemory responseMemory) throws IOException {
+    ForwardFixture(Duration timeout, Duration idleTimeout, HttpMessageCodec codec, BodyMemory responseMemory)
+            throws IOException {
         this.timeout = timeout;
         List<Address> addresses = unusedAddresses(3);
         callers = addresses.get(0);
@@ -68,7 +71,7 @@
                         "/ready",
                         Optional.empty(),
                         peers(addresses.get(2)),
-                        IDLE_TIMEOUT,
+                        idleTimeout,
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
                         rule()),
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -103,8 +103,7 @@
     @Test
     void internalErrorReleasesTheEngine() throws Exception {
         CompletableFuture<Void> cancelled = new CompletableFuture<>();
-        try (var fixture = new ForwardFixture(
-                        Duration.ofSeconds(3), new FailingCodec(new TestCodec(), "response"), new BodyMemory());
+        try (var fixture = new ForwardFixture(Duration.ofSeconds(3), new FailingCodec(new TestCodec(), "response"));
                 var engine = new RawTarget((head, out, socket) -> {
                     RawTarget.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
                     if (socket.getInputStream().read() < 0) {
--- a/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/IdleConnectionsTest.java
@@ -9,14 +9,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.ForwardFixture.CALLS;
-import static org.verbenatally.forward.ForwardFixture.IDLE_TIMEOUT;
 
 class IdleConnectionsTest {
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(2);
+
     private ForwardFixture fixture;
 
     @BeforeEach
     void start() throws Exception {
-        fixture = new ForwardFixture(IDLE_TIMEOUT.multipliedBy(10));
+        fixture = new ForwardFixture(IDLE_TIMEOUT.multipliedBy(10), IDLE_TIMEOUT, new TestCodec(), new BodyMemory());
         fixture.configure(1);
     }
 
@@ -28,7 +29,7 @@
     /** Guards against closing the connection of a caller who waits for a response for longer than the idle timeout. */
     @Test
     void connectionWithOpenRequestIsKept() throws Exception {
-        Duration work = IDLE_TIMEOUT.multipliedBy(3);
+        Duration work = IDLE_TIMEOUT.multipliedBy(2);
         try (var target = new RawTarget((head, out, socket) -> {
             Thread.sleep(work.toMillis());
             RawTarget.write(
@@ -55,11 +56,11 @@
                                     + "\r\nTest-Signed: yes\r\nContent-Length: 4\r\n\r\nbody");
                     return true;
                 });
-                var used = new RawCaller(fixture.callers);
-                var silent = new RawCaller(fixture.callers)) {
+                var used = new RawCaller(fixture.callers, IDLE_TIMEOUT.multipliedBy(5));
+                var silent = new RawCaller(fixture.callers, IDLE_TIMEOUT.multipliedBy(5))) {
             fixture.publish("a", CALLS, target);
-            for (int i = 0; i < 4; i++) {
-                Thread.sleep(IDLE_TIMEOUT.toMillis() / 2);
+            for (int i = 0; i < 8; i++) {
+                Thread.sleep(IDLE_TIMEOUT.toMillis() / 5);
                 used.write("GET /once/x HTTP/1.1\r\nHost: " + fixture.callers.host() + "\r\n" + TestCodec.ID + ": r" + i
                         + "\r\n\r\n");
                 assertThat(used.read("body")).startsWith("HTTP/1.1 200");
@@ -73,7 +74,7 @@
     @Test
     void requestWhoseBodyStopsIsRefused() throws Exception {
         try (var target = new RawTarget((head, out, socket) -> false);
-                var caller = new RawCaller(fixture.callers)) {
+                var caller = new RawCaller(fixture.callers, IDLE_TIMEOUT.multipliedBy(5))) {
             fixture.publish("a", CALLS, target);
             caller.write("POST /once/x HTTP/1.1\r\nHost: " + fixture.callers.host() + "\r\n" + TestCodec.ID + ": r1\r\n"
                     + TestCodec.CALLER_TIMEOUT + ": 100000\r\nContent-Length: 10\r\n\r\nhalf");
--- a/forward/src/test/java/org/verbenatally/forward/RawCaller.java
+++ b/forward/src/test/java/org/verbenatally/forward/RawCaller.java
@@ -16,8 +16,12 @@
     private final Socket socket;
 
     RawCaller(Address address) throws IOException {
+        this(address, READ_TIMEOUT);
+    }
+
+    RawCaller(Address address, Duration readTimeout) throws IOException {
         socket = new Socket(address.host(), address.port());
-        socket.setSoTimeout((int) READ_TIMEOUT.toMillis());
+        socket.setSoTimeout((int) readTimeout.toMillis());
     }
 
     void write(String text) throws IOException {
