Withhold the status of a refusal that the target has not stated

Callers saw: a booking that a faulty target had run was answered 503.

Cause: CallRun and StreamRun passed the status of a final response on, whatever the target had stated. Only the header of the platform states that a request has not run; 408, 429 and 503 without it state nothing.

Change: a response with such a status and without the statement is replaced by 502, without the headers of the target, unless the request is idempotent. Log event response.withheld, decision "refusal withheld".

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -128,6 +128,15 @@
                 .info(LOG);
     }
 
+    /** Logs that the response is not passed on, as the caller would take it for a refusal. */
+    void logWithheld(ForwardedRequest request) {
+        LogEvent.of("response.withheld")
+                .request(request.id())
+                .with("target", targetState.target().id())
+                .with("status", head.status())
+                .info(LOG);
+    }
+
     /** Logs that a send failed. */
     static void logFailure(ForwardedRequest request, TargetState state, StepException e) {
         LogEvent.of("attempt.failed")
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -184,9 +184,12 @@
             throw new StepException(
                     Step.SEND, state.target().id().value(), Outcome.UNKNOWN, "answer belongs to another request");
         }
+        // A caller that takes the status for a refusal would send the request again.
+        boolean withhold = head.isUnconfirmedRefusal() && request.route().retrySafety() != RetrySafety.IDEMPOTENT;
         ResponseBodyReader reader = new ResponseBodyReader(attempt.response());
         Buffer body = Buffer.buffer();
-        if (!buffer(attempt, reader, body)) {
+        boolean complete = buffer(attempt, reader, body);
+        if (!complete && !withhold) {
             return Optional.of(passThrough(attempt, inFlight, reader, body));
         }
         long now = components.timer().nanos();
@@ -202,6 +205,15 @@
             failureBody = body;
             return Optional.empty();
         }
+        if (withhold) {
+            if (!complete) {
+                attempt.cancel();
+            }
+            components.metrics().countDecision("refusal withheld");
+            attempt.logWithheld(request);
+            caller.respond(CallerExchange.BAD_GATEWAY);
+            return Optional.of("target failed");
+        }
         caller.respond(attempt.response(), body);
         return Optional.of(head.isSuccess() ? "served" : "target failed");
     }
--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -1,6 +1,7 @@
 package org.verbenatally.forward;
 
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * The head of a target's response.
@@ -15,6 +16,8 @@
     private static final int SUCCESS = 200;
     private static final int FIRST_NOT_SUCCESS = 300;
     private static final int SERVER_ERROR = 500;
+    /** Statuses that callers take as a statement that the request has not run, and never will. */
+    private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
     /** Returns whether the request was served. */
     boolean isSuccess() {
@@ -26,6 +29,14 @@
         return status >= SERVER_ERROR;
     }
 
+    /**
+     * Returns whether callers would take the status for a refusal although the target does not state that it has not
+     * run the request. Such a response must not be passed on if the request must not run twice.
+     */
+    boolean isUnconfirmedRefusal() {
+        return !notRun && REFUSAL_STATUSES.contains(status);
+    }
+
     /** Returns whether the response belongs to another request, or cannot be trusted for another reason. */
     boolean isUntrusted(String id) {
         return requestId.filter(i -> !i.equals(id)).isPresent() || isSuccess() && (requestId.isEmpty() || !genuine);
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -167,6 +167,9 @@
                 attempt.logNotRun(request);
                 return Optional.empty();
             }
+            if (attempt.head().isUnconfirmedRefusal()) {
+                return Optional.of(withhold(attempt, inFlight));
+            }
             continueWith(new StreamSegment(inFlight, attempt));
         } catch (StepException e) {
             Attempt.logFailure(request, state, e);
@@ -191,6 +194,17 @@
         return Optional.of(forwardSegments());
     }
 
+    /** Ends a generation whose engine responded with a refusal, but may have run it. */
+    private String withhold(Attempt attempt, InFlightRequest inFlight) {
+        attempt.cancel();
+        inFlight.end();
+        attempt.targetState().recordOutcome(true, components.timer().nanos());
+        components.metrics().countDecision("refusal withheld");
+        attempt.logWithheld(request);
+        caller.respond(CallerExchange.BAD_GATEWAY);
+        return "target failed";
+    }
+
     private void signalReader() {
         if (segment != null) {
             segment.reader().signal();
