Admit nobody when organisations have no key left

Cause: the decoder kept only the keys, and their absence was taken for a deployment without organisations, which needs no credential.

Change: ForwardDeployment holds an optional map of credentials; it is absent only if the configuration has no list of organisations.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardDeployment.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardDeployment.java
@@ -31,7 +31,7 @@
     private final ConfigVersion version;
     private final Map<Prefix, Route> routes;
     private final Map<ServiceName, ServiceSpec> services;
-    private final Map<String, OrganisationId> credentials;
+    private final Optional<Map<String, OrganisationId>> credentials;
     private final CallerLimits limits;
 
     /**
@@ -40,18 +40,18 @@
      * @param version its version
      * @param routes routes; of two with the same host and prefix the first counts
      * @param services services that the routes name
-     * @param credentials organisation of each credential; empty if no request needs one
+     * @param credentials organisation of each credential, possibly none; empty if requests need no credential
      * @param limits limits on what callers send
      */
     public ForwardDeployment(
             ConfigVersion version,
             List<Route> routes,
             List<ServiceSpec> services,
-            Map<String, OrganisationId> credentials,
+            Optional<Map<String, OrganisationId>> credentials,
             CallerLimits limits) {
         this.version = Objects.requireNonNull(version, "version");
         this.limits = Objects.requireNonNull(limits, "limits");
-        this.credentials = Map.copyOf(credentials);
+        this.credentials = credentials.map(Map::copyOf);
         this.routes = new HashMap<>();
         routes.forEach(r -> this.routes.putIfAbsent(new Prefix(lowerCase(r.host()), r.pathPrefix()), r));
         this.services = new HashMap<>();
@@ -94,12 +94,12 @@
 
     /** Returns whether requests need a credential, unless their route allows anonymous callers. */
     public boolean needsCredential() {
-        return !credentials.isEmpty();
+        return credentials.isPresent();
     }
 
     /** Returns the organisation that a credential belongs to. */
     public Optional<OrganisationId> organisation(String credential) {
-        return Optional.ofNullable(credentials.get(credential));
+        return credentials.map(known -> known.get(credential));
     }
 
     /** Returns the limits on what callers send. */
--- a/forward/src/test/java/org/verbenatally/forward/ForwardDeploymentTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardDeploymentTest.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 
 import org.junit.jupiter.api.Test;
@@ -42,7 +41,7 @@
                 new ConfigVersion(1),
                 List.of(shorter, longer),
                 List.of(),
-                Map.of(),
+                Optional.empty(),
                 new ForwardDeployment.CallerLimits(1, 1));
         assertThat(deployment.route("ONE.example", "/a/b/c")).contains(longer);
         assertThat(deployment.route("one.example", "/a/bc")).contains(shorter);
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -15,6 +15,9 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 
 import io.vertx.core.Vertx;
 import org.verbenatally.core.Address;
@@ -119,12 +122,25 @@
         }
     }
 
-    /** Puts a configuration in force; the credential {@code K} belongs to organisation {@code org-K}. */
+    /**
+     * Puts a configuration in force; the credential {@code K} belongs to organisation {@code org-K}. Without any,
+     * requests need none.
+     */
     void configure(long version, String... keys) throws InterruptedException {
-        Map<String, OrganisationId> credentials = new java.util.HashMap<>();
-        for (String key : keys) {
-            credentials.put(key, new OrganisationId("org-" + key));
-        }
+        configure(version, keys.length == 0 ? Optional.empty() : Optional.of(organisations(keys)));
+    }
+
+    /** Puts a configuration in force in which no organisation has a credential. */
+    void configureWithoutKeys(long version) throws InterruptedException {
+        configure(version, Optional.of(Map.of()));
+    }
+
+    private static Map<String, OrganisationId> organisations(String... keys) {
+        return Stream.of(keys).collect(Collectors.toMap(Function.identity(), key -> new OrganisationId("org-" + key)));
+    }
+
+    private void configure(long version, Optional<Map<String, OrganisationId>> credentials)
+            throws InterruptedException {
         var engine = new ServiceSpec.EngineTraits(100_000, true, true, 1);
         deployment.set(new ForwardDeployment(
                 new ConfigVersion(version),
--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -3,6 +3,7 @@
 import java.io.OutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
@@ -116,6 +117,28 @@
         }
     }
 
+    /** Guards against a deployment that serves everybody once its last key is gone. */
+    @Test
+    void withoutKeysNobodyIsServed() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, fixedLength(head, "answer"));
+            return true;
+        })) {
+            fixture.configure(1, "last");
+            fixture.publish("a", CALLS, target);
+            fixture.publish("b", ENGINES, target);
+            fixture.configureWithoutKeys(2);
+            for (String path : List.of("/repeat/x", "/once/x", "/stream/x")) {
+                for (String key : List.of("last", "never-known", "")) {
+                    var request = fixture.request(path, "r1").header(TestCodec.KEY, key);
+                    assertThat(fixture.send(request.build()).statusCode()).isEqualTo(401);
+                }
+                assertThat(get(path, "r2").statusCode()).isEqualTo(401);
+            }
+            assertThat(target.requests()).isEmpty();
+        }
+    }
+
     /** Guards against a response without a length that looks complete although its connection was reset. */
     @Test
     void resetResponseWithoutLengthIsIncomplete() throws Exception {
