Give no new work to targets that announce their departure

Cause: nothing read the header Server-Leaving. A leaving target was known from the published list and from peers alone.

Change: the head of each response of a target says what it states about its departure. The directory takes the target out of the choice at the head of the response, moves its generations as at any departure, and keeps it out for this run of it, whatever the list says. Peers are told with an optional field of the published record.

--- a/core/src/main/java/org/verbenatally/peer/PublishedTable.java
+++ b/core/src/main/java/org/verbenatally/peer/PublishedTable.java
@@ -20,7 +20,9 @@
     private final TimerService timers;
     private final Duration retention;
     private final ReplicatedTable<String, PublishedTarget> targets = new ReplicatedTable<>(
-            Comparator.comparing(PublishedTable::revision).thenComparing(PublishedTable::isLeaving),
+            Comparator.comparing(PublishedTable::revision)
+                    .thenComparing(PublishedTable::isLeaving)
+                    .thenComparing(PublishedTable::isDeparting),
             PublishedTable::isSameContent);
     private final Map<String, Long> unpublishedAt = new HashMap<>();
     /** The newest epoch of all records stored so far, 0 if none stated one. */
@@ -47,6 +49,10 @@
         return target.getEntry() != null && target.getEntry().isLeaving();
     }
 
+    private static boolean isDeparting(PublishedTarget target) {
+        return target.getEntry() != null && target.getEntry().isDeparting();
+    }
+
     /**
      * Returns whether two published targets differ only in their revision within an epoch, which changes with each
      * heartbeat, or in the remaining time of a slow start, whose end alone counts as a change.
--- a/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
+++ b/core/src/test/java/org/verbenatally/peer/PublishedTableTest.java
@@ -53,6 +53,17 @@
         assertThat(table.changes(0, LINK, 10).values()).hasSize(1);
     }
 
+    /** Guards against an announced departure that is not passed on because the record is otherwise the same. */
+    @Test
+    void announcedDepartureIsPassedOn() {
+        table.put(publishedTarget(1, true, 0), ReplicatedTable.LOCAL);
+        PublishedTarget departing = publishedTarget(1, true, 0);
+        departing.getEntry().setDeparting(true);
+        assertThat(table.put(departing, LINK)).isTrue();
+        assertThat(table.put(publishedTarget(1, true, 0), LINK)).isFalse();
+        assertThat(table.changes(0, LINK + 1, 10).values()).containsExactly(departing);
+    }
+
     /** Guards against a revision of before a restore of the source that outlives the lower ones given out after it. */
     @Test
     void newerEpochReplacesHigherRevision() {
--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -93,6 +93,7 @@
             ForwardingMetadata metadata,
             ResponseTimeout timeout,
             Consumer<Runnable> onSent) {
+        ForwardTarget target = state.target();
         Headers.copyEndToEnd(caller.request().headers(), clientRequest.headers());
         components.codec().write(metadata, clientRequest.headers());
         LogEvent.of("request.sent")
@@ -107,7 +108,23 @@
                 .info(LOG);
         boolean reused = components.client().isReused(clientRequest);
         HttpClientResponse response = components.client().send(clientRequest, request.body(), timeout, onSent);
-        return new Attempt(state, clientRequest, response, components.codec().read(response), reused);
+        Attempt attempt =
+                new Attempt(state, clientRequest, response, components.codec().read(response), reused);
+        attempt.readDeparture(components, request, target);
+        return attempt;
+    }
+
+    /** Takes the target out of the choice if the response says that it is about to leave. */
+    private void readDeparture(ForwardComponents components, ForwardedRequest request, ForwardTarget target) {
+        if (head.departure() == ResponseHead.Departure.MALFORMED) {
+            components.metrics().countDecision("departure malformed");
+            LogEvent.of("departure.malformed")
+                    .request(request.id())
+                    .with("target", target.id())
+                    .warn(LOG);
+        } else if (head.departure() == ResponseHead.Departure.ANNOUNCED && !isUntrusted(request)) {
+            components.directory().onDepartureAnnounced(target);
+        }
     }
 
     /**
--- a/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/PublishedTargetCodec.java
@@ -14,6 +14,18 @@
 final class PublishedTargetCodec {
     private PublishedTargetCodec() {}
 
+    /** Encodes the record of a target whose present run has announced its departure. */
+    static PublishedTarget encodeDeparting(ForwardTarget target, SourceRevision revision) {
+        PublishedTarget published = encode(target.asLeaving(), revision);
+        published.getEntry().setDeparting(true);
+        return published;
+    }
+
+    /** Returns whether a record states that the present run of its target has announced its departure. */
+    static boolean isDeparting(PublishedTarget published) {
+        return published.getEntry() != null && published.getEntry().isDeparting();
+    }
+
     static PublishedTarget encode(ForwardTarget target, SourceRevision revision) {
         return encodeRemoval(target.id(), revision)
                 .setEntry(new TargetEntry(
--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -11,14 +11,26 @@
  * @param requestId id of the request that the response belongs to, if the head states one
  * @param genuine whether the body that follows is the target's own; a successful response that is not genuine must not
  *     be passed on
+ * @param departure what the head says about the departure of the target
  */
-public record ResponseHead(int status, boolean notRun, Optional<String> requestId, boolean genuine) {
+public record ResponseHead(
+        int status, boolean notRun, Optional<String> requestId, boolean genuine, Departure departure) {
     private static final int SUCCESS = 200;
     private static final int FIRST_NOT_SUCCESS = 300;
     private static final int SERVER_ERROR = 500;
     /** Statuses that callers take as a statement that the request has not run, and never will. */
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** What a response says about the departure of the target that sent it. */
+    public enum Departure {
+        /** The head says nothing about it. */
+        NONE,
+        /** The target is about to leave and must get no new work. */
+        ANNOUNCED,
+        /** The statement cannot be read, and counts as none. */
+        MALFORMED
+    }
+
     /** Returns whether the request was served. */
     boolean isSuccess() {
         return status >= SUCCESS && status < FIRST_NOT_SUCCESS;
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -121,7 +121,10 @@
                 ForwardTarget target = keepLeaving(published.target(), published.revision());
                 listed.add(target.id());
                 updateTarget(target, published.revision(), now, leaving);
-                read.add(PublishedTargetCodec.encode(target, published.revision()));
+                read.add(
+                        states.get(target.id()).isDeparting()
+                                ? PublishedTargetCodec.encodeDeparting(target, published.revision())
+                                : PublishedTargetCodec.encode(target, published.revision()));
             }
             boolean settled = now - reachableSince >= RETURN_GRACE.toNanos() && isEpochSettled(now);
             for (TargetState state : states.values()) {
@@ -145,6 +148,7 @@
     /** Applies records that other instances have read. */
     void applyUpdates(Collection<PublishedTarget> updates) {
         List<TargetState> leaving = new ArrayList<>();
+        List<PublishedTarget> corrections = new ArrayList<>();
         synchronized (this) {
             long now = timer.nanos();
             for (PublishedTarget update : updates) {
@@ -157,13 +161,25 @@
                 }
                 Optional<ForwardTarget> target = PublishedTargetCodec.decode(update);
                 if (target.isPresent()) {
-                    updateTarget(keepLeaving(target.get(), revision), revision, now, leaving);
+                    ForwardTarget kept = keepLeaving(target.get(), revision);
+                    updateTarget(kept, revision, now, leaving);
+                    boolean sameRun =
+                            kept.startedMs() != 0 || !states.get(id).revision().isAfter(revision);
+                    if (PublishedTargetCodec.isDeparting(update) && sameRun) {
+                        recordDeparture(kept, now, leaving);
+                    } else if (state != null && state.isDeparting() && kept.leaving()) {
+                        corrections.add(PublishedTargetCodec.encodeDeparting(kept, revision));
+                    }
                 } else if (state != null && !state.isUnpublished() && revision.isAfter(state.revision())) {
                     removeTarget(state, revision, now, leaving);
                 }
             }
             rebuildCandidates();
         }
+        // A peer that passes on a record without the departure does not know of it yet.
+        if (!corrections.isEmpty()) {
+            onRead.accept(corrections);
+        }
         notifyLeaving(leaving);
     }
 
@@ -181,18 +197,55 @@
     }
 
     /**
-     * Returns a published target, as leaving if the same run of it was leaving in an earlier epoch: its record may be
-     * an old one, from the copy that the list was restored from.
+     * Returns a published target, as leaving if the same run of it is known to leave: its record may be an old one, of
+     * the copy that the list was restored from, or that of a target whose record never says so.
      */
     private ForwardTarget keepLeaving(ForwardTarget target, SourceRevision revision) {
         TargetState state = states.get(target.id());
-        boolean keep = state != null
-                && state.isLeaving()
-                && state.revision().epoch() < revision.epoch()
-                && target.isSameRun(state.target());
+        if (state == null || !state.isLeaving() || !target.isSameRun(state.target())) {
+            return target;
+        }
+        // Without a stated start, a target that comes back may be another run of it.
+        boolean sameRun = !state.isUnpublished() || target.startedMs() != 0;
+        boolean keep = state.revision().epoch() < revision.epoch() || state.isDeparting() && sameRun;
         return keep ? target.asLeaving() : target;
     }
 
+    /**
+     * Takes a target out of the choice that has announced its departure in a response, whatever the published list says
+     * of this run of it.
+     *
+     * @param target the target as it was described when the request was sent
+     */
+    void onDepartureAnnounced(ForwardTarget target) {
+        List<TargetState> leaving = new ArrayList<>();
+        PublishedTarget update;
+        synchronized (this) {
+            if (!recordDeparture(target, timer.nanos(), leaving)) {
+                return;
+            }
+            rebuildCandidates();
+            TargetState state = states.get(target.id());
+            update = PublishedTargetCodec.encodeDeparting(state.target(), state.revision());
+        }
+        onRead.accept(List.of(update));
+        notifyLeaving(leaving);
+    }
+
+    /** Records the announced departure of a run of a target. Returns whether it is news of the present run. */
+    private boolean recordDeparture(ForwardTarget run, long now, List<TargetState> leaving) {
+        TargetState state = states.get(run.id());
+        if (state == null || state.isDeparting() || !state.target().isSameRun(run)) {
+            return false;
+        }
+        boolean wasLeaving = state.isLeaving();
+        state.announceDeparture();
+        if (!wasLeaving) {
+            markLeaving(state, "announced", now, leaving);
+        }
+        return true;
+    }
+
     /** Records that all changes up to a read of the given age are known. */
     synchronized void updateAge(Duration age) {
         advanceKnownAsOf(timer.nanos() - age.toNanos());
@@ -246,6 +299,10 @@
     private void removeTarget(TargetState state, SourceRevision revision, long now, List<TargetState> leaving) {
         boolean wasLeaving = state.isLeaving();
         state.unpublish(revision);
+        if (state.isDeparting()) {
+            // It may have been published for long after its announcement, and is kept from now on like other targets.
+            leavingSince.put(state.target().id(), now);
+        }
         if (!wasLeaving) {
             markLeaving(state, "withdrawn", now, leaving);
         }
@@ -264,8 +321,9 @@
     private void removeExpired(long now) {
         leavingSince.entrySet().removeIf(entry -> {
             TargetState state = states.get(entry.getKey());
-            boolean expired =
-                    now - entry.getValue() > RETENTION.toNanos() && (state == null || state.ownRequests() == 0);
+            // The published record of a departing target may never say that it leaves.
+            boolean kept = state != null && (state.ownRequests() > 0 || state.isDeparting() && !state.isUnpublished());
+            boolean expired = now - entry.getValue() > RETENTION.toNanos() && !kept;
             if (expired) {
                 states.remove(entry.getKey());
             }
--- a/forward/src/main/java/org/verbenatally/forward/TargetState.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetState.java
@@ -24,6 +24,9 @@
 
     private volatile ForwardTarget target;
     private volatile boolean unpublished;
+    /** Whether the present run of the target has announced its departure, to this instance or another. */
+    private volatile boolean departing;
+
     private volatile SourceRevision revision;
     private final Runnable onLoadChange;
     private final Set<InFlightRequest> inFlightRequests = ConcurrentHashMap.newKeySet();
@@ -84,6 +87,7 @@
         if (!published.isSameRun(target)) {
             onRestart();
         }
+        departing &= published.isSameRun(target) && published.leaving();
         target = published;
         unpublished = false;
         revision = atRevision;
@@ -95,6 +99,17 @@
         revision = atRevision;
     }
 
+    /** Records that the present run of the target has announced its departure, to this instance or another. */
+    void announceDeparture() {
+        departing = true;
+        target = target.asLeaving();
+    }
+
+    /** Returns whether the present run of the target has announced its departure, to this instance or another. */
+    boolean isDeparting() {
+        return departing;
+    }
+
     boolean isUnpublished() {
         return unpublished;
     }
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -178,6 +178,82 @@
         assertThat(state.isSuspended(timer.nanos())).isFalse();
     }
 
+    /** Guards against new work for a target that announces its departure in its responses and is published as ready. */
+    @Test
+    void departingTargetStaysOutWhateverIsPublished() {
+        publish(ready("a"), ready("b"));
+        AtomicInteger notifications = new AtomicInteger();
+        TargetState state = directory.candidates(SERVICE).getFirst();
+        ForwardTarget departing = state.target();
+        var inFlight = new InFlightRequest("r1", Set.of(), state, null, null, notifications::incrementAndGet);
+        published.clear();
+        directory.onDepartureAnnounced(departing);
+        directory.onDepartureAnnounced(departing);
+        inFlight.end();
+        assertThat(notifications).hasValue(1);
+        assertThat(published).hasSize(1).allMatch(record -> record.getEntry().isLeaving());
+        for (int i = 0; i < 5; i++) {
+            timer.advance(Duration.ofSeconds(20));
+            publish(ready("a"), ready("b"));
+            assertThat(candidates()).doesNotContain(departing.id().value()).hasSize(1);
+        }
+        publish(restarted(departing));
+        assertThat(candidates()).contains(departing.id().value());
+    }
+
+    /** Guards against peers that take a departing target back because the published list says that it is ready. */
+    @Test
+    void departureHeardFromPeerOutlastsLaterLists() {
+        publish(ready("a"), ready("b"));
+        SourceRevision read = Targets.list(List.of()).revision();
+        publish(ready("a"), ready("b"));
+        directory.applyUpdates(List.of(PublishedTargetCodec.encodeDeparting(ready("b"), read)));
+        for (int i = 0; i < 3; i++) {
+            assertThat(candidates()).containsExactly("a");
+            timer.advance(Duration.ofSeconds(20));
+            published.clear();
+            publish(ready("a"), ready("b"));
+            assertThat(published.get(1).getEntry().isDeparting()).isTrue();
+        }
+    }
+
+    /** Guards against a record of a peer that does not know of a departure and spreads further than the departure. */
+    @Test
+    void peerThatDoesNotKnowOfDepartureIsCorrected() {
+        publish(ready("a"), ready("b"));
+        directory.onDepartureAnnounced(ready("b"));
+        published.clear();
+        directory.applyUpdates(List.of(PublishedTargetCodec.encode(ready("b"), LATER)));
+        assertThat(candidates()).containsExactly("a");
+        assertThat(published).containsExactly(PublishedTargetCodec.encodeDeparting(ready("b"), LATER));
+    }
+
+    /** Guards against a restarted target that gets no work because its earlier run announced its departure late. */
+    @Test
+    void departureOfEarlierRunIsIgnored() {
+        publish(ready("a"), restarted(ready("b")));
+        directory.onDepartureAnnounced(ready("b"));
+        directory.onDepartureAnnounced(ready("unknown"));
+        assertThat(candidates()).containsExactly("a", "b");
+    }
+
+    /** Guards against a target without a stated start that gets no work for good after it has left once. */
+    @Test
+    void departingTargetWithoutStartReturnsAfterItWasRemoved() {
+        ForwardTarget a = ready("a");
+        ForwardTarget unstated =
+                new ForwardTarget(a.id(), 0, a.service(), a.address(), a.failureDomain(), a.slots(), false, 0);
+        publish(unstated, ready("b"));
+        directory.onDepartureAnnounced(unstated);
+        publish(unstated, ready("b"));
+        assertThat(candidates()).containsExactly("b");
+        publish(ready("b"));
+        publish(unstated, ready("b"));
+        assertThat(candidates()).containsExactly("a", "b");
+        directory.onDepartureAnnounced(unstated);
+        assertThat(candidates()).containsExactly("b");
+    }
+
     private static SourceRevision restored(long number) {
         return new SourceRevision(Targets.EPOCH + 1, number);
     }
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -28,6 +28,8 @@
     static final String LAST_EVENT = "Test-Last-Event";
     static final String NOT_RUN = "Test-Not-Run";
     static final String SIGNED = "Test-Signed";
+    /** {@code yes} if the target is about to leave; any other value is malformed. */
+    static final String LEAVING = "Test-Leaving";
 
     @Override
     public RequestHead read(HttpServerRequest request) {
@@ -66,7 +68,15 @@
                 response.statusCode(),
                 response.getHeader(NOT_RUN) != null,
                 Optional.ofNullable(response.getHeader(ID)),
-                response.getHeader(SIGNED) != null);
+                response.getHeader(SIGNED) != null,
+                departure(response.getHeader(LEAVING)));
+    }
+
+    private static ResponseHead.Departure departure(String value) {
+        if (value == null) {
+            return ResponseHead.Departure.NONE;
+        }
+        return value.equals("yes") ? ResponseHead.Departure.ANNOUNCED : ResponseHead.Departure.MALFORMED;
     }
 
     @Override
--- a/schema/src/main/thrift/peer.thrift
+++ b/schema/src/main/thrift/peer.thrift
@@ -83,7 +83,9 @@
   /** When this run of the target started, in milliseconds since the epoch; 0 if it does not say. */
   7: required i64 startedMs,
   /** How much longer it is slow after its start, in milliseconds. */
-  8: required i64 coldMs
+  8: required i64 coldMs,
+  /** Whether this run of the target has announced in a response that it leaves, whatever later entries say of it. */
+  9: optional bool departing
 }
 
 /**
