Close connections only behind responses that announce it

Cause: after each response during a stop the connection was closed, also if the head of the response had been sent before the stop and did not announce it. On a busy machine the close came hundreds of milliseconds later, behind requests that had arrived meanwhile.

Change: such a connection stays open; the response to its next request announces the close.

GracefulStopTest.requestAfterResponseThatBeganBeforeTheStopIsAnswered failed before.

--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -257,11 +257,13 @@
         if (gone) {
             return;
         }
-        if (isClosing() && !response.headWritten()) {
+        // A caller that was not told of the close may have sent its next request, which would get no response.
+        boolean closes = isClosing() && !response.headWritten();
+        if (closes) {
             response.putHeader(HttpHeaders.CONNECTION, HttpHeaders.CLOSE);
         }
         Future<Void> ended = response.end(last);
-        if (isClosing()) {
+        if (closes) {
             ended.onComplete(v -> request.connection().close());
         }
     }
--- a/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
@@ -7,6 +7,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.ForwardFixture.CALLS;
+import static org.verbenatally.forward.ForwardFixture.ENGINES;
 
 class GracefulStopTest {
 
@@ -53,6 +54,43 @@
         }
     }
 
+    /**
+     * Guards against closing a connection after a response that did not announce it, since its head was sent before the
+     * stop: the next request on the connection would get no response.
+     */
+    @Test
+    void requestAfterResponseThatBeganBeforeTheStopIsAnswered() throws Exception {
+        CompletableFuture<Void> stopping = new CompletableFuture<>();
+        String event = "id: 1\ndata: x\n\n";
+        try (var fixture = new ForwardFixture();
+                var engine = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nTest-Id: " + RawTarget.header(head, TestCodec.ID)
+                                    + "\r\nTest-Signed: yes\r\nContent-Length: " + 2 * event.length() + "\r\n\r\n"
+                                    + event);
+                    stopping.join();
+                    RawTarget.write(out, event);
+                    return true;
+                });
+                var caller = new RawCaller(fixture.callers)) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, engine);
+            fixture.publish("b", ENGINES, engine);
+            caller.write(request(fixture, "begun", 3_000).replace("/once/", "/stream/"));
+            assertThat(caller.read("\n\n")).startsWith("HTTP/1.1 200");
+            CompletableFuture<Void> stopped = fixture.server.stop();
+            stopping.complete(null);
+            assertThat(caller.read("0\r\n\r\n")).contains(event);
+            caller.write(request(fixture, "next", 100));
+            assertThat(caller.read("(never)"))
+                    .startsWith("HTTP/1.1 200")
+                    .containsIgnoringCase("connection: close")
+                    .endsWith(event + event);
+            stopped.get(10, TimeUnit.SECONDS);
+        }
+    }
+
     /** Guards against a call that is taken late in the grace period and cut off at its end without a response. */
     @Test
     void lateCallIsRefusedOrAnsweredBeforeTheEnd() throws Exception {
