Close callers' connections before the process ends

Callers saw: a request on a connection that had been idle during a stop got neither a response nor a refusal, and the connection was reset up to 0.3 s later (LOST).

Cause: the process ended with open connections. The virtual machine waits up to 0.3 s for threads in system calls, and nothing reads the connections then.

Change: the end of the shutdown closes the listener and the connections of callers.

GracefulStopTest.connectionsAreClosedBeforeTheProcessEnds failed before.

--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -1,5 +1,6 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -12,6 +13,7 @@
 import io.vertx.core.ThreadingModel;
 import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpServer;
 import io.vertx.core.http.HttpServerOptions;
 import io.vertx.core.http.HttpServerRequest;
 import org.jboss.logging.Logger;
@@ -36,6 +38,7 @@
     private static final long START_TIMEOUT_SECONDS = 20;
     private static final int MAX_HEADER_BYTES = 32_768;
     private static final int OK = 200;
+    private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(100);
 
     private final ForwardOptions options;
     private final Vertx vertx;
@@ -47,6 +50,7 @@
     private final IdleConnections connections;
     private final ForwardComponents components;
     private volatile TcpPeerNetwork<ForwardDeployment> peers;
+    private volatile HttpServer callers;
 
     /**
      * Creates an instance that does not listen yet.
@@ -220,10 +224,25 @@
         return directory.isKnown() ? Optional.empty() : Optional.of("no targets are known");
     }
 
-    /** Starts a graceful shutdown; completes when the process may end. */
+    /** Starts a graceful shutdown; completes when all connections of callers are closed and the process may end. */
     public CompletableFuture<Void> stop() {
         peers.announceLeaving();
-        return shutdown.start();
+        return shutdown.start().thenCompose(v -> closeCallers());
+    }
+
+    /**
+     * Closes the listener of callers and their connections. A process takes some hundred milliseconds to end, during
+     * which it would still receive requests, but read none.
+     */
+    private CompletableFuture<Void> closeCallers() {
+        return callers.close()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .orTimeout(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
+                .exceptionally(e -> {
+                    LOG.warnf("caller: the connections were not closed in time: %s", e.getMessage());
+                    return null;
+                });
     }
 
     private final class CallerVerticle extends VerticleBase {
@@ -232,7 +251,7 @@
             Context ownContext = context;
             ForwardHandler handler =
                     new ForwardHandler(components, config::deployment, shutdown, ownContext, options.idleTimeout());
-            return vertx.createHttpServer(new HttpServerOptions()
+            callers = vertx.createHttpServer(new HttpServerOptions()
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setHandle100ContinueAutomatically(true)
                             .setTcpNoDelay(true)
@@ -253,10 +272,9 @@
                         } finally {
                             connections.onRequestEnd(request.connection());
                         }
-                    })
-                    .listen(
-                            options.callerAddress().port(),
-                            options.callerAddress().host());
+                    });
+            return callers.listen(
+                    options.callerAddress().port(), options.callerAddress().host());
         }
     }
 
--- a/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/GracefulStopTest.java
@@ -1,11 +1,13 @@
 package org.verbenatally.forward;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
 import org.junit.jupiter.api.Test;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.verbenatally.forward.ForwardFixture.CALLS;
 import static org.verbenatally.forward.ForwardFixture.ENGINES;
 
@@ -91,6 +93,18 @@
         }
     }
 
+    /** Guards against connections that stay open while the process ends and reads nothing more from them. */
+    @Test
+    void connectionsAreClosedBeforeTheProcessEnds() throws Exception {
+        try (var fixture = new ForwardFixture();
+                var idle = new RawCaller(fixture.callers)) {
+            fixture.configure(1);
+            fixture.server.stop().get(10, TimeUnit.SECONDS);
+            assertThat(idle.read("(never)")).isEmpty();
+            assertThatThrownBy(() -> new RawCaller(fixture.callers)).isInstanceOf(ConnectException.class);
+        }
+    }
+
     /** Guards against a call that is taken late in the grace period and cut off at its end without a response. */
     @Test
     void lateCallIsRefusedOrAnsweredBeforeTheEnd() throws Exception {
