Start no request whose connection has been closed

Cause: a request waits in the queue of its instance while its connection may be closed, by the instance or the caller. IdleConnections then no longer knew the connection and let the request start; a caller whose connection is gone before the handlers are set is not reported as gone, so the request would run for nobody, and count as lost if it is passed on (found by reading, while the connections that are closed during a stop were looked into).

Change: a request starts only on a connection that is known to be open.

Evidence: IdleConnectionsTest.requestOfClosedConnectionIsNotStarted (core) failed before. Not seen in a run of processes.

--- a/core/src/main/java/org/verbenatally/http/IdleConnections.java
+++ b/core/src/main/java/org/verbenatally/http/IdleConnections.java
@@ -75,11 +75,11 @@
 
     /**
      * Records that a request has arrived on a connection. Returns whether it may be handled; otherwise, the connection
-     * is being closed, and the caller will find that its request was not read.
+     * is being closed or was closed since the request arrived, and the caller will find that its request was not read.
      */
     public boolean tryStartRequest(HttpConnection connection) {
         State state = states.get(connection);
-        return state == null || state.tryStartRequest();
+        return state != null && state.tryStartRequest();
     }
 
     /** Records that a request on a connection has ended. */
