Bound the memory of incomplete events of all generations

Cause: an incomplete event had a limit of its own, 1 MB, but all of them had none, and all its bytes were copied for each chunk that arrived.

Change: beyond 16 KB, an incomplete event is reserved from the memory for responses; without memory the engine is given up, as for an event that is too long. The bytes are copied once.

--- a/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
+++ b/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
@@ -1,6 +1,7 @@
 package org.verbenatally.forward;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
@@ -13,43 +14,78 @@
     /** Longest event; data with a longer one is not an event stream. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
+    /**
+     * Bytes of an incomplete event that are kept without a reservation, so that streams of usual events do not depend
+     * on the memory that others take.
+     */
+    static final int UNRESERVED_BYTES = 16 << 10;
+
     /** Length of a line end and an empty line, in bytes: LF CR LF. */
     private static final int MAX_EMPTY_LINE_BYTES = 3;
 
     private static final byte[] ID = "id:".getBytes(StandardCharsets.US_ASCII);
 
-    /** The data that a target sends is not an event stream. */
+    /** The data that a target sends is not an event stream, or there is no memory for an event of such length. */
     static final class EventTooLongException extends Exception {
         private static final long serialVersionUID = 1;
 
-        EventTooLongException() {
-            super("event is longer than " + MAX_EVENT_BYTES + " bytes");
+        EventTooLongException(String message) {
+            super(message);
         }
     }
 
+    private final BodyMemory memory;
     private Buffer incomplete = Buffer.buffer();
+    private int reservedBytes;
     private String lastId;
     private long count;
 
+    /**
+     * Creates a splitter.
+     *
+     * @param memory limits the memory that the incomplete events of all streams take
+     */
+    EventSplitter(BodyMemory memory) {
+        this.memory = Objects.requireNonNull(memory, "memory");
+    }
+
     /**
      * Appends a chunk and returns the events that are complete now, empty if none is.
      *
-     * @throws EventTooLongException if an event is too long
+     * @throws EventTooLongException if an event is too long, or too long for the memory that is left; it is discarded
      */
     Buffer append(Buffer chunk) throws EventTooLongException {
         // An empty line may have started in the bytes that were left.
         int searchFrom = Math.max(0, incomplete.length() - MAX_EMPTY_LINE_BYTES);
         Buffer all = incomplete.length() == 0 ? chunk : incomplete.appendBuffer(chunk);
         int end = endOfLastEvent(all, searchFrom);
-        if (all.length() - end > MAX_EVENT_BYTES) {
-            throw new EventTooLongException();
-        }
-        incomplete = end == all.length() ? Buffer.buffer() : Buffer.buffer(all.getBytes(end, all.length()));
+        keepIncomplete(all, end);
         Buffer complete = all.slice(0, end);
         parseIds(complete);
         return complete;
     }
 
+    private void keepIncomplete(Buffer all, int start) throws EventTooLongException {
+        int length = all.length() - start;
+        int needed = Math.max(0, length - UNRESERVED_BYTES);
+        if (length > MAX_EVENT_BYTES) {
+            discardIncompleteEvent();
+            throw new EventTooLongException("event is longer than " + MAX_EVENT_BYTES + " bytes");
+        }
+        if (needed > reservedBytes && !memory.reserve(needed - reservedBytes)) {
+            discardIncompleteEvent();
+            throw new EventTooLongException("no memory for an event of more than " + length + " bytes");
+        }
+        if (needed < reservedBytes) {
+            memory.release(reservedBytes - needed);
+        }
+        reservedBytes = needed;
+        // Copying the kept bytes for each further chunk would cost far more than receiving them.
+        if (start > 0 || all != incomplete) {
+            incomplete = Buffer.buffer(all.getBytes(start, all.length()));
+        }
+    }
+
     /** Returns whether a chunk holds the end of an event, as far as the chunk alone can tell. */
     static boolean endsEvent(Buffer chunk) {
         return endOfLastEvent(chunk, 0) > 0;
@@ -112,8 +148,10 @@
         return incomplete.length() > 0;
     }
 
-    /** Discards the bytes of an event that will not end. */
+    /** Discards the bytes of an event that will not end, and releases their memory. */
     void discardIncompleteEvent() {
         incomplete = Buffer.buffer();
+        memory.release(reservedBytes);
+        reservedBytes = 0;
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -38,7 +38,7 @@
     private final StreamContinuation continuation;
     private final SilenceMonitor silence;
     private final Set<TargetId> tried = new HashSet<>();
-    private final EventSplitter events = new EventSplitter();
+    private final EventSplitter events;
     private AdmissionRank rank = AdmissionRank.NORMAL;
     private int sends;
     private long chunksForwarded;
@@ -69,6 +69,7 @@
         this.generation = Objects.requireNonNull(generation, "generation");
         this.caller = Objects.requireNonNull(caller, "caller");
         this.context = Objects.requireNonNull(context, "context");
+        this.events = new EventSplitter(components.responseMemory());
         this.admission = new EngineAdmission(components);
         this.migration = new StreamMigration(components, request, generation, context);
         this.sender = new StreamSender(
@@ -92,6 +93,7 @@
                 segment.close(false);
             }
             migration.reset();
+            events.discardIncompleteEvent();
         }
         LogEvent.of("stream.ended")
                 .request(request.id())
