Name a chunk of a response by its length in errors

Operators saw: the reason of attempt.failed held the bytes of a response that had come too late, up to several kilobytes of what a target sent to a caller.

Cause: the message of the error was made of the chunk itself.

Change: a chunk is described by its length.

--- a/forward/src/main/java/org/verbenatally/forward/ResponseBodyReader.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseBodyReader.java
@@ -27,7 +27,13 @@
     sealed interface Item {}
 
     /** A chunk of the body. */
-    record Piece(Buffer bytes) implements Item {}
+    record Piece(Buffer bytes) implements Item {
+        /** Returns the length only, as responses must not appear in logs. */
+        @Override
+        public String toString() {
+            return "Piece[" + bytes.length() + " bytes]";
+        }
+    }
 
     /** The body is complete. */
     record End() implements Item {}
