Pass on no departure of a target that is no longer published

Callers saw nothing; instances would keep a record of each target that leaves the published list before it announces its departure, for good.

Cause: a target may announce its departure in the last responses after its removal from the list.

Change: the announcement of such a target counts here and is not passed on.

Evidence: TargetDirectoryTest.departureOfRemovedTargetIsNotPassedOn failed before: a record of the removed target at the removal's revision was published. It passes now, with the rest of TargetDirectoryTest and DepartingTargetTest.

--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -226,6 +226,10 @@
             }
             rebuildCandidates();
             TargetState state = states.get(target.id());
+            if (state.isUnpublished()) {
+                // The peers know of its removal, which a record of the target would replace for good.
+                return;
+            }
             update = PublishedTargetCodec.encodeDeparting(state.target(), state.revision());
         }
         onRead.accept(List.of(update));
--- a/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetDirectoryTest.java
@@ -228,6 +228,18 @@
         assertThat(published).containsExactly(PublishedTargetCodec.encodeDeparting(ready("b"), LATER));
     }
 
+    /** Guards against a record that replaces the removal of a target at the peers, and is never removed again. */
+    @Test
+    void departureOfRemovedTargetIsNotPassedOn() {
+        publish(ready("a"), ready("b"));
+        publish(ready("a"));
+        published.clear();
+        directory.onDepartureAnnounced(ready("b"));
+        assertThat(published).isEmpty();
+        publish(ready("a"), ready("b"));
+        assertThat(candidates()).containsExactly("a");
+    }
+
     /** Guards against a restarted target that gets no work because its earlier run announced its departure late. */
     @Test
     void departureOfEarlierRunIsIgnored() {
