Answer at the head of a withheld refusal

Callers saw: a call that a target had failed with the status of a refusal, and whose body then stalled, was answered only when its time was over, with 504 instead of 502.

Cause: read the whole body, which is discarded, before it answered.

Change: the exchange is cancelled and the caller answered as soon as the head has arrived, as for generations.

Evidence: UnconfirmedRefusalTest, case "/once/x, 503, stalled", failed before after 3 s; all of its cases, ForwardServerTest and DepartingTargetTest pass.

--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -184,12 +184,12 @@
             throw new StepException(
                     Step.SEND, state.target().id().value(), Outcome.UNKNOWN, "answer belongs to another request");
         }
-        // A caller that takes the status for a refusal would send the request again.
-        boolean withhold = head.isUnconfirmedRefusal() && request.route().retrySafety() != RetrySafety.IDEMPOTENT;
+        if (head.isUnconfirmedRefusal() && request.route().retrySafety() != RetrySafety.IDEMPOTENT) {
+            return Optional.of(withhold(attempt, inFlight));
+        }
         ResponseBodyReader reader = new ResponseBodyReader(attempt.response());
         Buffer body = Buffer.buffer();
-        boolean complete = buffer(attempt, reader, body);
-        if (!complete && !withhold) {
+        if (!buffer(attempt, reader, body)) {
             return Optional.of(passThrough(attempt, inFlight, reader, body));
         }
         long now = components.timer().nanos();
@@ -205,19 +205,24 @@
             failureBody = body;
             return Optional.empty();
         }
-        if (withhold) {
-            if (!complete) {
-                attempt.cancel();
-            }
-            components.metrics().countDecision("refusal withheld");
-            attempt.logWithheld(request);
-            caller.respond(CallerExchange.BAD_GATEWAY);
-            return Optional.of("target failed");
-        }
         caller.respond(attempt.response(), body);
         return Optional.of(head.isSuccess() ? "served" : "target failed");
     }
 
+    /** Ends a request whose target responded with a refusal, but may have run it; the caller would send it again. */
+    private String withhold(Attempt attempt, InFlightRequest inFlight) {
+        attempt.cancel();
+        runs++;
+        attempt.targetState()
+                .recordOutcome(
+                        attempt.head().isServerError(), components.timer().nanos());
+        components.crashDetector().onServed(inFlight);
+        components.metrics().countDecision("refusal withheld");
+        attempt.logWithheld(request);
+        caller.respond(CallerExchange.BAD_GATEWAY);
+        return "target failed";
+    }
+
     /** Reads a response to its end, or until it cannot be buffered any longer; returns whether it has ended. */
     private boolean buffer(Attempt attempt, ResponseBodyReader reader, Buffer body) {
         while (body.length() <= MAX_BUFFERED_BYTES) {
--- a/forward/src/test/java/org/verbenatally/forward/UnconfirmedRefusalTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/UnconfirmedRefusalTest.java
@@ -36,6 +36,7 @@
             case "empty" -> head + "Content-Length: 0\r\n\r\n";
             case "chunked" -> head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbusy\r\n0\r\n\r\n";
             case "unframed" -> head + "\r\nbusy";
+            case "stalled" -> head + "Content-Length: 8\r\n\r\nbusy";
             default -> head + "Content-Length: " + LONG_BODY + "\r\n\r\n" + "x".repeat(LONG_BODY);
         };
     }
@@ -55,10 +56,12 @@
         "/once/x, 408, unframed",
         "/once/x, 421, empty",
         "/once/x, 503, long",
+        "/once/x, 503, stalled",
         "/stream/x, 503, empty",
         "/stream/x, 429, chunked",
         "/stream/x, 408, unframed",
-        "/stream/x, 503, long"
+        "/stream/x, 503, long",
+        "/stream/x, 503, stalled"
     })
     void unconfirmedRefusalIsNotPassedOn(String path, int status, String framing) throws Exception {
         try (RawTarget target = target(status, framing)) {
