--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -50,7 +50,7 @@
     private final IdleConnections connections;
     private final ForwardComponents components;
     private volatile TcpPeerNetwork<ForwardDeployment> peers;
-    private volatile HttpServer callers;
+    private volatile HttpServer callerServer;
 
     /**
      * Creates an instance that does not listen yet.
@@ -235,7 +235,8 @@
      * which it would still receive requests, but read none.
      */
     private CompletableFuture<Void> closeCallers() {
-        return callers.close()
+        return callerServer
+                .close()
                 .toCompletionStage()
                 .toCompletableFuture()
                 .orTimeout(CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
@@ -251,7 +252,7 @@
             Context ownContext = context;
             ForwardHandler handler =
                     new ForwardHandler(components, config::deployment, shutdown, ownContext, options.idleTimeout());
-            callers = vertx.createHttpServer(new HttpServerOptions()
+            callerServer = vertx.createHttpServer(new HttpServerOptions()
                             .setMaxHeaderSize(MAX_HEADER_BYTES)
                             .setHandle100ContinueAutomatically(true)
                             .setTcpNoDelay(true)
@@ -273,7 +274,7 @@
                             connections.onRequestEnd(request.connection());
                         }
                     });
-            return callers.listen(
+            return callerServer.listen(
                     options.callerAddress().port(), options.callerAddress().host());
         }
     }
--- a/forward/src/test/java/org/verbenatally/forward/DepartingTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/DepartingTargetTest.java
@@ -141,7 +141,7 @@
         assertThat(events).startsWith("id: 1\ndata: a\n\n").endsWith("data: x\n\n");
     }
 
-    /** Guards against losing a target to a response of another request, or to a statement that cannot be read. */
+    /** Guards against losing a target to a statement that cannot be read, and against overlooking such statements. */
     @ParameterizedTest
     @ValueSource(strings = {"Test-Leaving: ", "Test-Leaving: 7"})
     void malformedAnnouncementIsCountedAndIgnored(String header) throws Exception {
