--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -96,6 +96,7 @@
         ForwardTarget target = state.target();
         Headers.copyEndToEnd(caller.request().headers(), clientRequest.headers());
         components.codec().write(metadata, clientRequest.headers());
+        boolean reused = components.client().isReused(clientRequest);
         LogEvent.of("request.sent")
                 .request(request.id())
                 .with("target", state.target().id())
@@ -105,8 +106,9 @@
                 .with("tokens", state.ownTokens() + state.peerTokens())
                 .with("backup", metadata.backup().map(Object::toString).orElse(""))
                 .with("continues", metadata.continuation().isPresent())
+                .with("connection", String.valueOf(clientRequest.connection().localAddress()))
+                .with("reused", reused)
                 .info(LOG);
-        boolean reused = components.client().isReused(clientRequest);
         HttpClientResponse response = components.client().send(clientRequest, request.body(), timeout, onSent);
         Attempt attempt =
                 new Attempt(state, clientRequest, response, components.codec().read(response), reused);
--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -226,6 +226,11 @@
         Headers.copyEndToEnd(targetResponse.headers(), response.headers());
     }
 
+    /** Returns the status that the caller got, or 0 if it got none. */
+    int status() {
+        return response.headWritten() ? response.getStatusCode() : 0;
+    }
+
     /** Returns whether the head of the response has been passed on. */
     boolean isStarted() {
         return response.headWritten();
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -163,6 +163,7 @@
         LogEvent.of("request.ended")
                 .request(forwarded.id())
                 .with("outcome", outcome)
+                .with("status", caller.status())
                 .with("ms", elapsed.toMillis())
                 .info(LOG);
     }
