--- a/core/src/main/java/org/verbenatally/http/package-info.java
+++ b/core/src/main/java/org/verbenatally/http/package-info.java
@@ -1,2 +1,2 @@
-/** What the servers for callers have in common. */
+/** What HTTP servers and clients have in common. */
 package org.verbenatally.http;
--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -11,6 +11,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.ResponseHeads;
 
 /**
  * One send of a request to one target, from the connection to the head of the response.
@@ -134,7 +135,8 @@
      * connection that was used before, a refusal must state its request, as it may be a copy of an earlier one.
      */
     boolean isUntrusted(ForwardedRequest request) {
-        return head.isUntrusted(request.id())
+        return ResponseHeads.isJoined(response)
+                || head.isUntrusted(request.id())
                 || reused && head.notRun() && head.requestId().isEmpty();
     }
 
