--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -1,9 +1,9 @@
 package org.verbenatally.forward;
 
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.function.Consumer;
 
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.StreamResetException;
 import org.jboss.logging.Logger;
@@ -11,23 +11,22 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
-import org.verbenatally.http.ResponseHeads;
 
 /**
  * One send of a request to one target, from the connection to the head of the response.
  *
  * @param targetState state of the target
- * @param clientRequest the exchange, to be reset if its response is not read to the end
+ * @param exchange the exchange, to be cancelled if its response is not read to the end
  * @param response the response, paused
  * @param head the decoded head of the response
- * @param reused whether the connection had been used before
+ * @param objection why the response must not be taken for that of the request, empty if it can be
  */
 record Attempt(
         TargetState targetState,
-        HttpClientRequest clientRequest,
+        TargetExchange exchange,
         HttpClientResponse response,
         ResponseHead head,
-        boolean reused) {
+        Optional<String> objection) {
     private static final Logger LOG = Logger.getLogger(Attempt.class);
 
     /**
@@ -51,9 +50,9 @@
             ResponseTimeout timeout,
             Consumer<Runnable> onSent) {
         ForwardTarget target = state.target();
-        HttpClientRequest clientRequest;
+        TargetExchange exchange;
         try {
-            clientRequest = components
+            exchange = components
                     .client()
                     .connect(
                             request.service(),
@@ -66,12 +65,12 @@
             throw e;
         }
         if (caller.isGone() || components.directory().isLeaving(state)) {
-            clientRequest.reset();
+            exchange.release();
             String reason = caller.isGone() ? "caller has left" : "target began to leave";
             throw new StepException(Step.SEND, target.id().value(), Outcome.NOT_RUN, reason);
         }
         try {
-            return send(components, request, caller, state, clientRequest, metadata, timeout, onSent);
+            return send(components, request, caller, state, exchange, metadata, timeout, onSent);
         } catch (StepException e) {
             boolean cancelled = caller.isGone() || e.getCause() instanceof StreamResetException;
             if (!cancelled && !(e.getCause() instanceof TimeoutException)) {
@@ -80,7 +79,7 @@
             }
             throw e;
         } catch (RuntimeException | Error e) {
-            clientRequest.reset();
+            exchange.cancel();
             throw e;
         }
     }
@@ -90,14 +89,13 @@
             ForwardedRequest request,
             CallerExchange caller,
             TargetState state,
-            HttpClientRequest clientRequest,
+            TargetExchange exchange,
             ForwardingMetadata metadata,
             ResponseTimeout timeout,
             Consumer<Runnable> onSent) {
         ForwardTarget target = state.target();
-        Headers.copyEndToEnd(caller.request().headers(), clientRequest.headers());
-        components.codec().write(metadata, clientRequest.headers());
-        boolean reused = components.client().isReused(clientRequest);
+        Headers.copyEndToEnd(caller.request().headers(), exchange.request().headers());
+        components.codec().write(metadata, exchange.request().headers());
         LogEvent.of("request.sent")
                 .request(request.id())
                 .with("target", state.target().id())
@@ -107,13 +105,19 @@
                 .with("tokens", state.ownTokens() + state.peerTokens())
                 .with("backup", metadata.backup().map(Object::toString).orElse(""))
                 .with("continues", metadata.continuation().isPresent())
-                .with("connection", String.valueOf(clientRequest.connection().localAddress()))
-                .with("reused", reused)
+                .with("connection", exchange.localAddress())
+                .with("exchange", exchange.number())
                 .info(LOG);
-        HttpClientResponse response = components.client().send(clientRequest, request.body(), timeout, onSent);
-        Attempt attempt =
-                new Attempt(state, clientRequest, response, components.codec().read(response), reused);
-        attempt.readDeparture(components, request, target);
+        HttpClientResponse response = exchange.send(request.body(), timeout, onSent);
+        ResponseHead head = components.codec().read(response);
+        Optional<String> objection = ResponseTrust.objection(exchange, response, head, request.id());
+        Attempt attempt = new Attempt(state, exchange, response, head, objection);
+        if (objection.isPresent()) {
+            components.metrics().countDecision("response distrusted");
+            attempt.logDistrust(request);
+        } else {
+            attempt.readDeparture(components, request, target);
+        }
         return attempt;
     }
 
@@ -125,19 +129,27 @@
                     .request(request.id())
                     .with("target", target.id())
                     .warn(LOG);
-        } else if (head.departure() == ResponseHead.Departure.ANNOUNCED && !isUntrusted(request)) {
+        } else if (head.departure() == ResponseHead.Departure.ANNOUNCED) {
             components.directory().onDepartureAnnounced(target);
         }
     }
 
-    /**
-     * Returns whether the response may belong to another request, or cannot be trusted for another reason. On a
-     * connection that was used before, a refusal must state its request, as it may be a copy of an earlier one.
-     */
-    boolean isUntrusted(ForwardedRequest request) {
-        return ResponseHeads.isJoined(response)
-                || head.isUntrusted(request.id())
-                || reused && head.notRun() && head.requestId().isEmpty();
+    /** Returns whether the response must not be taken for that of the request. */
+    boolean isUntrusted() {
+        return objection.isPresent();
+    }
+
+    private void logDistrust(ForwardedRequest request) {
+        LogEvent.of("response.distrusted")
+                .request(request.id())
+                .with("target", targetState.target().id())
+                .with("step", Step.SEND)
+                .with("status", head.status())
+                .with("statedRequest", head.requestId().orElse(""))
+                .with("connection", exchange.localAddress())
+                .with("exchange", exchange.number())
+                .with("reason", objection.orElse(""))
+                .warn(LOG);
     }
 
     /** Logs that the target has not run the request, or has no copy to continue from. */
@@ -169,8 +181,13 @@
                 .info(LOG);
     }
 
-    /** Ends the exchange without reading the rest of its response. */
+    /** Ends the exchange without using the rest of its response. */
+    void discard() {
+        exchange.discard(response);
+    }
+
+    /** Ends the exchange without reading the rest of its response, and closes its connection. */
     void cancel() {
-        clientRequest.reset();
+        exchange.cancel();
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -179,10 +179,13 @@
     private Optional<String> onResponse(Attempt attempt, InFlightRequest inFlight) {
         ResponseHead head = attempt.head();
         TargetState state = attempt.targetState();
-        if (attempt.isUntrusted(request)) {
+        if (attempt.isUntrusted()) {
             attempt.cancel();
             throw new StepException(
-                    Step.SEND, state.target().id().value(), Outcome.UNKNOWN, "answer belongs to another request");
+                    Step.SEND,
+                    state.target().id().value(),
+                    Outcome.UNKNOWN,
+                    attempt.objection().orElseThrow());
         }
         if (head.isUnconfirmedRefusal() && request.route().retrySafety() != RetrySafety.IDEMPOTENT) {
             return Optional.of(withhold(attempt, inFlight));
--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -48,9 +48,4 @@
     boolean isUnconfirmedRefusal() {
         return !notRun && REFUSAL_STATUSES.contains(status);
     }
-
-    /** Returns whether the response belongs to another request, or cannot be trusted for another reason. */
-    boolean isUntrusted(String id) {
-        return requestId.filter(i -> !i.equals(id)).isPresent() || isSuccess() && (requestId.isEmpty() || !genuine);
-    }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -217,12 +217,16 @@
             var continuation = new ForwardingMetadata.Continuation(holder, copyId, events.lastId());
             Attempt attempt = sender.send(inFlight, AdmissionRank.CONTINUED, Optional.of(continuation), limit, onSent);
             ResponseHead head = attempt.head();
-            boolean untrusted = attempt.isUntrusted(request);
+            boolean untrusted = attempt.isUntrusted();
             if (head.notRun() || !head.isSuccess() || untrusted) {
                 if (!untrusted && copyId.equals(request.id())) {
                     refusedBackup = state;
                 }
-                attempt.cancel();
+                if (untrusted) {
+                    attempt.cancel();
+                } else {
+                    attempt.discard();
+                }
                 inFlight.end();
                 attempt.logNotRun(request);
                 return Optional.empty();
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -8,7 +8,6 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
@@ -142,7 +141,7 @@
                 .with("target", holder.target().id());
         long start = components.timer().nanos();
         try {
-            HttpClientRequest clientRequest = components
+            TargetExchange exchange = components
                     .client()
                     .connect(
                             request.service(),
@@ -150,11 +149,10 @@
                             copyRequest.method(),
                             copyRequest.uri(),
                             COPY_TIMEOUT);
-            HttpClientResponse response = components
-                    .client()
-                    .send(clientRequest, copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), reset -> {});
+            HttpClientResponse response =
+                    exchange.send(copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), cancel -> {});
             Optional<String> copied =
-                    components.codec().readCopyResponse(response.statusCode(), readBody(clientRequest, response));
+                    components.codec().readCopyResponse(response.statusCode(), readBody(exchange, response));
             event.with("status", response.statusCode())
                     .with(
                             "ms",
@@ -167,7 +165,7 @@
         }
     }
 
-    private Buffer readBody(HttpClientRequest clientRequest, HttpClientResponse response) {
+    private Buffer readBody(TargetExchange exchange, HttpClientResponse response) {
         Buffer body = Buffer.buffer();
         ResponseBodyReader reader = new ResponseBodyReader(response);
         long deadline = components.timer().nanos() + COPY_TIMEOUT.toNanos();
@@ -181,7 +179,7 @@
             } else if (item instanceof ResponseBodyReader.End) {
                 return body;
             } else {
-                clientRequest.reset();
+                exchange.cancel();
                 throw new StepException(
                         Step.RESUME, request.id(), Outcome.UNKNOWN, "answer to the copy broke off: " + item);
             }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -157,13 +157,13 @@
                     request.remaining(components.timer().nanos()),
                     caller::onGone);
             // A refusal that belongs to another request says nothing about this one, which may be running.
-            if (attempt.isUntrusted(request)) {
+            if (attempt.isUntrusted()) {
                 attempt.cancel();
                 inFlight.end();
-                return Optional.of(fail("answer belongs to another request"));
+                return Optional.of(fail("response distrusted"));
             }
             if (attempt.head().notRun()) {
-                attempt.cancel();
+                attempt.discard();
                 inFlight.end();
                 state.recordOutcome(true, components.timer().nanos());
                 attempt.logNotRun(request);
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -8,13 +8,11 @@
 import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
-import java.util.function.Consumer;
 import java.util.function.IntSupplier;
 
 import io.vertx.core.Future;
 import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
@@ -54,8 +52,11 @@
     /** Connections that failed; held weakly, as they are of no use once their responses are gone. */
     private final Set<HttpConnection> failedConnections = weakSet();
 
-    /** Connections on which a response has arrived; held weakly as well. */
-    private final Set<HttpConnection> usedConnections = weakSet();
+    /** Connections of exchanges that did not end in order; held weakly as well. */
+    private final Set<HttpConnection> cancelledConnections = weakSet();
+
+    /** Number of exchanges that have begun on each connection; held weakly as well. */
+    private final Map<HttpConnection, Integer> exchanges = Collections.synchronizedMap(new WeakHashMap<>());
 
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
 
@@ -71,29 +72,47 @@
     private HttpClient client(ServiceSpec service) {
         return clients.computeIfAbsent(service.name(), name -> {
             int share = service.maxConnections() / Math.max(1, members.getAsInt());
-            return vertx.httpClientBuilder()
-                    .with(new HttpClientOptions()
-                            .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                            .setMaxHeaderSize(MAX_HEADER_BYTES)
-                            .setKeepAlive(true)
-                            .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
-                            .setDecompressionSupported(false)
-                            .setTcpNoDelay(true))
-                    .with(new PoolOptions().setHttp1MaxSize(Math.max(MIN_CONNECTIONS, share)))
-                    .withConnectHandler(
-                            connection -> connection.exceptionHandler(e -> failedConnections.add(connection)))
-                    .build();
+            return createClient(Math.max(MIN_CONNECTIONS, share));
         });
     }
 
+    private HttpClient createClient(int maxConnections) {
+        return vertx.httpClientBuilder()
+                .with(new HttpClientOptions()
+                        .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                        .setMaxHeaderSize(MAX_HEADER_BYTES)
+                        .setKeepAlive(true)
+                        .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                        .setDecompressionSupported(false)
+                        .setTcpNoDelay(true))
+                .with(new PoolOptions().setHttp1MaxSize(maxConnections))
+                .withConnectHandler(connection -> connection.exceptionHandler(e -> failedConnections.add(connection)))
+                .build();
+    }
+
     /**
-     * Obtains a connection for a request. Nothing is sent before {@link #send}.
+     * Obtains a connection for a request. Nothing is sent before {@link TargetExchange#send}.
      *
      * @throws StepException with outcome {@code NOT_RUN} if there is no connection in time
      */
-    HttpClientRequest connect(ServiceSpec service, Address address, HttpMethod method, String uri, Duration limit) {
-        Future<HttpClientRequest> future = client(service)
-                .request(new RequestOptions()
+    TargetExchange connect(ServiceSpec service, Address address, HttpMethod method, String uri, Duration limit) {
+        return connect(client(service), address, method, uri, limit);
+    }
+
+    private TargetExchange connect(HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
+        HttpClientRequest request = request(client, address, method, uri, limit);
+        while (cancelledConnections.contains(request.connection())) {
+            request.connection().close();
+            request.reset();
+            request = request(client, address, method, uri, limit);
+        }
+        int number = exchanges.merge(request.connection(), 1, Integer::sum);
+        return new TargetExchange(request, number, cancelledConnections::add);
+    }
+
+    private HttpClientRequest request(
+            HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
+        Future<HttpClientRequest> future = client.request(new RequestOptions()
                         .setHost(address.host())
                         .setPort(address.port())
                         .setMethod(method)
@@ -115,58 +134,6 @@
         return new StepException(Step.CONNECT, address.toString(), Outcome.NOT_RUN, message, cause);
     }
 
-    /**
-     * Returns whether a response has arrived on the connection of a request that has not been sent. A faulty target may
-     * send a second copy of such a response where that of the request is due.
-     */
-    boolean isReused(HttpClientRequest request) {
-        return usedConnections.contains(request.connection());
-    }
-
-    /**
-     * Sends a request and waits for the head of the response, which is returned paused.
-     *
-     * @param onSent receives the action that cancels the exchange, as soon as the request is being sent
-     * @throws StepException with outcome {@code UNKNOWN} if no head arrives in time
-     */
-    HttpClientResponse send(
-            HttpClientRequest request, Buffer body, ResponseTimeout timeout, Consumer<Runnable> onSent) {
-        Future<HttpClientResponse> responseFuture = (body.length() == 0 && !methodAllowsBody(request)
-                        ? request.send()
-                        : request.send(body))
-                .onSuccess(response -> response.exceptionHandler(e -> {}).pause());
-        onSent.accept(request::reset);
-        String peer = String.valueOf(request.connection().remoteAddress());
-        try {
-            HttpClientResponse response = await(responseFuture, timeout);
-            usedConnections.add(request.connection());
-            return response;
-        } catch (TimeoutException e) {
-            request.reset();
-            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "no response in time: " + e.getMessage(), e);
-        } catch (Exception e) {
-            request.reset();
-            throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "connection lost: " + e.getMessage(), e);
-        }
-    }
-
-    private static <T> T await(Future<T> future, ResponseTimeout timeout) throws TimeoutException {
-        try {
-            return TimedAwait.await(future, timeout.early());
-        } catch (TimeoutException e) {
-            Duration rest = timeout.limit().minus(timeout.early());
-            if (!rest.isPositive() || timeout.mayEndEarly().getAsBoolean()) {
-                throw e;
-            }
-            return TimedAwait.await(future, rest);
-        }
-    }
-
-    private static boolean methodAllowsBody(HttpClientRequest request) {
-        HttpMethod method = request.getMethod();
-        return method.equals(HttpMethod.POST) || method.equals(HttpMethod.PUT) || method.equals(HttpMethod.PATCH);
-    }
-
     /**
      * Returns whether a response that ended with its connection may be incomplete. A body without a length ends in the
      * same way when its connection is reset; the failure is reported separately, at about the same time.
