--- a/forward/src/main/java/org/verbenatally/forward/ResponseTrust.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseTrust.java
@@ -31,6 +31,20 @@
                         "response is not the target's own"));
     }
 
+    /**
+     * Checks the response to an order of this instance, which need not state an id and therefore has a connection of
+     * its own.
+     *
+     * @param head the decoded head of the response
+     * @param requestId id of the request that the order concerns
+     * @return why the response must not be used, or empty if it can be
+     */
+    static Optional<String> objectionToOrder(
+            TargetExchange exchange, HttpClientResponse response, ResponseHead head, String requestId) {
+        return commonObjection(response, head, requestId)
+                .or(() -> when(exchange.isReused(), "response to an order on a reused connection"));
+    }
+
     private static Optional<String> commonObjection(HttpClientResponse response, ResponseHead head, String requestId) {
         return when(ResponseHeads.isJoined(response), "head joined from two responses")
                 .or(() -> when(
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -143,14 +143,14 @@
         try {
             TargetExchange exchange = components
                     .client()
-                    .connect(
-                            request.service(),
+                    .connectUnpooled(
                             segment.targetState().target().address(),
                             copyRequest.method(),
                             copyRequest.uri(),
                             COPY_TIMEOUT);
             HttpClientResponse response =
                     exchange.send(copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), cancel -> {});
+            checkTrust(exchange, response, segment.targetState());
             Optional<String> copied =
                     components.codec().readCopyResponse(response.statusCode(), readBody(exchange, response));
             event.with("status", response.statusCode())
@@ -165,6 +165,15 @@
         }
     }
 
+    private void checkTrust(TargetExchange exchange, HttpClientResponse response, TargetState state) {
+        ResponseHead head = components.codec().read(response);
+        ResponseTrust.objectionToOrder(exchange, response, head, request.id()).ifPresent(objection -> {
+            exchange.cancel();
+            components.metrics().countDecision("response distrusted");
+            throw new StepException(Step.RESUME, state.target().id().value(), Outcome.UNKNOWN, objection);
+        });
+    }
+
     private Buffer readBody(TargetExchange exchange, HttpClientResponse response) {
         Buffer body = Buffer.buffer();
         ResponseBodyReader reader = new ResponseBodyReader(response);
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -46,6 +46,8 @@
 
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MIN_CONNECTIONS = 8;
+    /** Largest number of unpooled connections to one target at a time. */
+    private static final int MAX_UNPOOLED_CONNECTIONS = 16;
 
     private final Vertx vertx;
     private final IntSupplier members;
@@ -59,10 +61,12 @@
     private final Map<HttpConnection, Integer> exchanges = Collections.synchronizedMap(new WeakHashMap<>());
 
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
+    private final HttpClient unpooledClient;
 
     TargetClient(Vertx vertx, IntSupplier members) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.members = Objects.requireNonNull(members, "members");
+        this.unpooledClient = createClient(false, MAX_UNPOOLED_CONNECTIONS);
     }
 
     private static Set<HttpConnection> weakSet() {
@@ -72,16 +76,16 @@
     private HttpClient client(ServiceSpec service) {
         return clients.computeIfAbsent(service.name(), name -> {
             int share = service.maxConnections() / Math.max(1, members.getAsInt());
-            return createClient(Math.max(MIN_CONNECTIONS, share));
+            return createClient(true, Math.max(MIN_CONNECTIONS, share));
         });
     }
 
-    private HttpClient createClient(int maxConnections) {
+    private HttpClient createClient(boolean keepAlive, int maxConnections) {
         return vertx.httpClientBuilder()
                 .with(new HttpClientOptions()
                         .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
                         .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setKeepAlive(true)
+                        .setKeepAlive(keepAlive)
                         .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
                         .setDecompressionSupported(false)
                         .setTcpNoDelay(true))
@@ -99,6 +103,16 @@
         return connect(client(service), address, method, uri, limit);
     }
 
+    /**
+     * Obtains a new connection, which is closed after the exchange, for a request whose response does not state to
+     * which request it belongs.
+     *
+     * @throws StepException with outcome {@code NOT_RUN} if there is no connection in time
+     */
+    TargetExchange connectUnpooled(Address address, HttpMethod method, String uri, Duration limit) {
+        return connect(unpooledClient, address, method, uri, limit);
+    }
+
     private TargetExchange connect(HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
         HttpClientRequest request = request(client, address, method, uri, limit);
         while (cancelledConnections.contains(request.connection())) {
