--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -31,6 +31,11 @@
         MALFORMED
     }
 
+    /** Returns whether the response precedes the final one, which says how the request ended. */
+    boolean isInterim() {
+        return status < SUCCESS;
+    }
+
     /** Returns whether the request was served. */
     boolean isSuccess() {
         return status >= SUCCESS && status < FIRST_NOT_SUCCESS;
--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -334,6 +334,24 @@
         }
     }
 
+    /** Guards against an interim response that a caller takes for the end of its request. */
+    @Test
+    void interimResponseIsNotPassedOn() throws Exception {
+        try (var target = new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, "HTTP/1.1 102 Processing\r\n\r\n");
+            Thread.sleep(200);
+            RawTarget.write(out, fixedLength(head, "whole"));
+            return true;
+        })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            int status = fixture.sendLater(fixture.request("/once/x", "r1").build())
+                    .get(20, java.util.concurrent.TimeUnit.SECONDS)
+                    .statusCode();
+            assertThat(status).isEqualTo(502);
+        }
+    }
+
     /** Guards against a generation that is cut off because its engine leaves. */
     @Test
     void generationMigratesWhenItsEngineLeaves() throws Exception {
