--- a/forward/src/main/java/org/verbenatally/forward/BodyMemory.java
+++ b/forward/src/main/java/org/verbenatally/forward/BodyMemory.java
@@ -21,19 +21,48 @@
         this.limit = limit;
     }
 
-    /** Reserves memory for bytes that have arrived; returns whether there was enough. */
-    boolean reserve(int bytes) {
-        if (reserved.addAndGet(bytes) <= limit) {
+    /** Memory of one exchange. All of it is returned when it is closed; nothing can be added after that. */
+    final class Reservation implements AutoCloseable {
+        private long bytes;
+        private boolean closed;
+
+        private Reservation() {}
+
+        /** Reserves memory for bytes that have arrived; returns whether there was enough, and it is still open. */
+        synchronized boolean add(int more) {
+            return !closed && tryResize(bytes + more);
+        }
+
+        /** Changes what is reserved, in bytes; returns whether there was enough, and it is still open. */
+        synchronized boolean resize(long size) {
+            return !closed && tryResize(size);
+        }
+
+        private boolean tryResize(long size) {
+            long change = size - bytes;
+            if (reserved.addAndGet(change) > limit && change > 0) {
+                reserved.addAndGet(-change);
+                return false;
+            }
+            bytes = size;
             return true;
         }
-        reserved.addAndGet(-bytes);
-        return false;
+
+        /** Returns the memory. Has no effect if it was returned before. */
+        @Override
+        public synchronized void close() {
+            closed = true;
+            reserved.addAndGet(-bytes);
+            bytes = 0;
+        }
     }
 
-    void release(int bytes) {
-        reserved.addAndGet(-bytes);
+    /** Opens a reservation of no bytes. */
+    Reservation open() {
+        return new Reservation();
     }
 
+    /** Returns the memory of all open reservations, in bytes. */
     long reserved() {
         return reserved.get();
     }
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -54,21 +54,20 @@
     private Buffer failureBody;
     /** Target that was chosen for the next send, with a retry acquired, while the present one is silent. */
     private TargetState alternative;
-    /** Memory reserved for responses that are kept, in bytes. */
-    private int reservedBytes;
+    /** Memory of the responses that are kept. */
+    private final BodyMemory.Reservation memory;
 
     CallRun(ForwardComponents components, ForwardedRequest request, CallerExchange caller) {
         this.components = Objects.requireNonNull(components, "components");
         this.request = Objects.requireNonNull(request, "request");
         this.caller = Objects.requireNonNull(caller, "caller");
+        this.memory = components.responseMemory().open();
     }
 
     /** Runs the request to its end and returns the outcome that logs and metrics report. */
     String run() {
-        try {
+        try (memory) {
             return sendUntilAnswered();
-        } finally {
-            components.responseMemory().release(reservedBytes);
         }
     }
 
@@ -234,10 +233,9 @@
                 return true;
             }
             body.appendBuffer(chunk.get());
-            if (!components.responseMemory().reserve(chunk.get().length())) {
+            if (!memory.add(chunk.get().length())) {
                 return false;
             }
-            reservedBytes += chunk.get().length();
         }
         return false;
     }
--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
@@ -39,7 +40,7 @@
     private final HttpServerResponse response;
     private final BooleanSupplier stopping;
     private Runnable onGone = () -> {};
-    private Runnable onRelease = () -> {};
+    private Optional<BodyMemory.Reservation> bodyMemory = Optional.empty();
     private String requestId = "";
     private boolean gone;
     private boolean aborted;
@@ -140,13 +141,15 @@
      */
     BodyEnd readBody(Buffer body, int maxBytes, BodyMemory memory, Duration limit) throws TimeoutException {
         Promise<BodyEnd> end = Promise.promise();
+        BodyMemory.Reservation reservation = memory.open();
+        bodyMemory = Optional.of(reservation);
         request.handler(chunk -> {
             if (end.future().isComplete()) {
                 return;
             }
             if (body.length() + chunk.length() > maxBytes) {
                 end.tryComplete(BodyEnd.TOO_LARGE);
-            } else if (!memory.reserve(chunk.length())) {
+            } else if (!reservation.add(chunk.length())) {
                 end.tryComplete(BodyEnd.NO_MEMORY);
             } else {
                 body.appendBuffer(chunk);
@@ -154,15 +157,18 @@
         });
         request.endHandler(v -> end.tryComplete(BodyEnd.COMPLETE));
         onGone = () -> end.tryFail("caller has left");
-        onRelease = () -> memory.release(body.length());
         request.resume();
-        return TimedAwait.await(end.future(), limit);
+        try {
+            return TimedAwait.await(end.future(), limit);
+        } finally {
+            // The rest of a body that is no longer awaited is read and discarded.
+            end.tryFail("body is no longer awaited");
+        }
     }
 
-    /** Releases the memory of the body. */
+    /** Releases the memory of the body; nothing can be reserved for it after that. */
     void release() {
-        onRelease.run();
-        onRelease = () -> {};
+        bodyMemory.ifPresent(BodyMemory.Reservation::close);
     }
 
     /**
--- a/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
+++ b/forward/src/main/java/org/verbenatally/forward/EventSplitter.java
@@ -10,7 +10,7 @@
  * Splits the bytes of an event stream into complete events, so that an event that breaks off is never passed on. Reads
  * the id of the last complete event.
  */
-final class EventSplitter {
+final class EventSplitter implements AutoCloseable {
     /** Longest event; data with a longer one is not an event stream. */
     static final int MAX_EVENT_BYTES = 1 << 20;
 
@@ -34,9 +34,8 @@
         }
     }
 
-    private final BodyMemory memory;
+    private final BodyMemory.Reservation memory;
     private Buffer incomplete = Buffer.buffer();
-    private int reservedBytes;
     private String lastId;
     private long count;
 
@@ -46,7 +45,7 @@
      * @param memory limits the memory that the incomplete events of all streams take
      */
     EventSplitter(BodyMemory memory) {
-        this.memory = Objects.requireNonNull(memory, "memory");
+        this.memory = Objects.requireNonNull(memory, "memory").open();
     }
 
     /**
@@ -72,14 +71,10 @@
             discardIncompleteEvent();
             throw new EventTooLongException("event is longer than " + MAX_EVENT_BYTES + " bytes");
         }
-        if (needed > reservedBytes && !memory.reserve(needed - reservedBytes)) {
+        if (!memory.resize(needed)) {
             discardIncompleteEvent();
             throw new EventTooLongException("no memory for an event of more than " + length + " bytes");
         }
-        if (needed < reservedBytes) {
-            memory.release(reservedBytes - needed);
-        }
-        reservedBytes = needed;
         // Copying the kept bytes for each further chunk would cost far more than receiving them.
         if (start > 0 || all != incomplete) {
             incomplete = Buffer.buffer(all.getBytes(start, all.length()));
@@ -151,7 +146,13 @@
     /** Discards the bytes of an event that will not end, and releases their memory. */
     void discardIncompleteEvent() {
         incomplete = Buffer.buffer();
-        memory.release(reservedBytes);
-        reservedBytes = 0;
+        memory.resize(0);
+    }
+
+    /** Discards what is left; a further incomplete event gets no memory. */
+    @Override
+    public void close() {
+        incomplete = Buffer.buffer();
+        memory.close();
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -93,7 +93,7 @@
                 segment.close(false);
             }
             migration.reset();
-            events.discardIncompleteEvent();
+            events.close();
         }
         LogEvent.of("stream.ended")
                 .request(request.id())
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -216,6 +216,25 @@
         return client.send(request, HttpResponse.BodyHandlers.ofInputStream());
     }
 
+    /** Waits until a gauge of the metrics page has a value, for at most three seconds, and returns what it has then. */
+    double awaitGauge(String name, double expected) throws InterruptedException {
+        long deadline = System.nanoTime() + Duration.ofSeconds(3).toNanos();
+        while (gauge(name) != expected && System.nanoTime() < deadline) {
+            Thread.sleep(10);
+        }
+        return gauge(name);
+    }
+
+    private double gauge(String name) {
+        return server.metrics()
+                .scrape()
+                .lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(Double.NaN);
+    }
+
     @Override
     public void close() {
         vertx.close();
