--- a/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
+++ b/forward/src/main/java/org/verbenatally/forward/CrashDetector.java
@@ -56,6 +56,11 @@
         return reporter.ledger().isQuarantined(traits);
     }
 
+    /** Returns how many sets of traits are quarantined. */
+    int quarantinedCount() {
+        return reporter.ledger().quarantined().size();
+    }
+
     /**
      * Returns whether a request that was lost with its target may have been the cause: the target had not clearly begun
      * to serve it, and it has a part in its prompt with which no request is known to have been served.
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -103,6 +103,10 @@
         metrics.registerGauge(
                 "verbenatally.body.bytes", () -> components.bodyMemory().reserved());
         metrics.registerGauge("verbenatally.response.bytes", responseMemory::reserved);
+        metrics.registerGauge("verbenatally.target.requests", () -> directory.sumOfStates(TargetState::ownRequests));
+        metrics.registerGauge(
+                "verbenatally.quarantined", () -> components.crashDetector().quarantinedCount());
+        metrics.registerGauge("verbenatally.target.copies", () -> directory.sumOfStates(TargetState::ownCopies));
         metrics.registerGauge("verbenatally.members", this::liveMembers);
         metrics.registerGauge("verbenatally.connections", connections::count);
     }
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.ToIntFunction;
 
 import org.jboss.logging.Logger;
 import org.verbenatally.core.InstanceId;
@@ -381,6 +382,11 @@
         return state.isLeaving();
     }
 
+    /** Returns the sum of a number over all targets, those that have left lately included. */
+    synchronized int sumOfStates(ToIntFunction<TargetState> value) {
+        return states.values().stream().mapToInt(value).sum();
+    }
+
     /** Returns the load of this instance at each target and the failures that it has seen there, for its peers. */
     synchronized List<TargetLoad> ownLoads() {
         long now = timer.nanos();
--- a/forward/src/main/java/org/verbenatally/forward/TargetState.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetState.java
@@ -156,6 +156,11 @@
         return inFlightRequests.size();
     }
 
+    /** Returns how many copies of generations have memory reserved at this engine. */
+    int ownCopies() {
+        return copies.size();
+    }
+
     long ownTokens() {
         return inFlightRequests.stream()
                         .mapToLong(InFlightRequest::expectedMemory)
