--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -45,6 +45,8 @@
     private boolean gone;
     private boolean aborted;
     private boolean closing;
+    /** The present wait until the caller has read what was written. */
+    private Promise<Void> drained = Promise.promise();
 
     /**
      * Wraps a request whose body has not been read.
@@ -66,6 +68,7 @@
     private void onDisconnect() {
         if (!gone && !response.ended()) {
             gone = true;
+            drained.tryComplete();
             onGone.run();
         }
     }
@@ -249,7 +252,7 @@
         }
         response.write(chunk);
         if (response.writeQueueFull()) {
-            Promise<Void> drained = Promise.promise();
+            drained = Promise.promise();
             response.drainHandler(v -> drained.tryComplete());
             try {
                 TimedAwait.await(drained.future(), WRITE_TIMEOUT);
