--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -159,7 +159,7 @@
             }
         });
         request.endHandler(v -> end.tryComplete(BodyEnd.COMPLETE));
-        onGone = () -> end.tryFail("caller has left");
+        onGone(() -> end.tryFail("caller has left"));
         request.resume();
         try {
             return TimedAwait.await(end.future(), limit);
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -99,6 +99,20 @@
         assertThat(response.headers().firstValue(TestCodec.SIGNED)).isEmpty();
     }
 
+    /** Guards against a request that stays open for the time of its body after its caller has left. */
+    @Test
+    void callerThatLeavesBeforeItsBodyIsReadIsGivenUp() throws Exception {
+        try (var fixture = new ForwardFixture()) {
+            fixture.configure(1);
+            try (var caller = new RawCaller(fixture.callers)) {
+                caller.write("POST /once/x HTTP/1.1\r\nHost: " + fixture.callers
+                        + "\r\nTest-Id: r1\r\nTest-Patience: 8000\r\nContent-Length: 10\r\n\r\n");
+                assertThat(fixture.awaitGauge("verbenatally_open_requests", 1)).isEqualTo(1);
+            }
+            assertThat(fixture.awaitGauge("verbenatally_open_requests", 0)).isZero();
+        }
+    }
+
     /** Guards against an engine that works on for a request that has failed with an internal error. */
     @Test
     void internalErrorReleasesTheEngine() throws Exception {
