--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -122,7 +122,13 @@
                     Optional.empty());
             Attempt attempt = Attempt.start(
                     components, request, caller, state, metadata, responseTimeout(remaining), caller::onGone);
-            return onResponse(attempt, inFlight);
+            try {
+                return onResponse(attempt, inFlight);
+            } catch (RuntimeException | Error e) {
+                // An exchange that nobody reads to its end would keep its connection for good.
+                attempt.cancel();
+                throw e;
+            }
         } catch (StepException e) {
             return onFailure(state, e);
         } finally {
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -99,6 +99,29 @@
         assertThat(response.headers().firstValue(TestCodec.SIGNED)).isEmpty();
     }
 
+    /** Guards against a connection to a target that is kept for good by a response that nobody reads. */
+    @Test
+    void internalErrorEndsTheExchangeWithTheTarget() throws Exception {
+        CompletableFuture<Void> cancelled = new CompletableFuture<>();
+        try (var fixture = new ForwardFixture();
+                var target = new RawTarget((head, out, socket) -> {
+                    RawTarget.write(
+                            out,
+                            "HTTP/1.1 200 OK\r\nTest-Id: r1\r\nTest-Signed: yes\r\nX-Odd: a\u000bb\r\n"
+                                    + "Content-Length: 900000\r\n\r\n" + "x".repeat(400_000));
+                    if (socket.getInputStream().read() < 0) {
+                        cancelled.complete(null);
+                    }
+                    return false;
+                })) {
+            fixture.configure(1);
+            fixture.publish("a", CALLS, target);
+            assertThat(fixture.send(fixture.request("/once/x", "r1").build()).statusCode())
+                    .isEqualTo(502);
+            cancelled.get(2, TimeUnit.SECONDS);
+        }
+    }
+
     /** Guards against a request that stays open for the time of its body after its caller has left. */
     @Test
     void callerThatLeavesBeforeItsBodyIsReadIsGivenUp() throws Exception {
