--- a/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
+++ b/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
@@ -13,6 +13,9 @@
     private final Set<Trait> traits;
     private final TargetState targetState;
     private final TargetState backup;
+    /** Memory for the backup, or {@code null} if there is none. */
+    private final TargetState.CopyReservation backupMemory;
+
     private final Generation generation;
     private final Runnable onLeaving;
     private final AtomicBoolean ended = new AtomicBoolean();
@@ -45,9 +48,7 @@
         this.generation = generation;
         this.onLeaving = onLeaving;
         targetState.addInFlight(this);
-        if (backup != null) {
-            backup.reserveCopy(this);
-        }
+        this.backupMemory = backup == null ? null : backup.reserveCopy(this);
     }
 
     String requestId() {
@@ -130,8 +131,8 @@
             return;
         }
         targetState.removeInFlight(this);
-        if (backup != null) {
-            backup.releaseCopy(this);
+        if (backupMemory != null) {
+            backupMemory.close();
         }
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -39,7 +39,7 @@
     private String copyId;
     private boolean copying;
     private final Set<TargetId> refusedBy = new HashSet<>();
-    private Runnable reservation;
+    private TargetState.CopyReservation reservation;
 
     StreamMigration(ForwardComponents components, ForwardedRequest request, Generation generation, Context context) {
         this.components = Objects.requireNonNull(components, "components");
@@ -57,7 +57,7 @@
 
     private void endReservation() {
         if (reservation != null) {
-            reservation.run();
+            reservation.close();
             reservation = null;
         }
     }
@@ -99,6 +99,9 @@
     }
 
     private void copyWhileRunning(StreamSegment segment) {
+        if (segment.inFlight().hasEnded()) {
+            return;
+        }
         Optional<TargetState> chosen = chooseDestination(segment.targetState());
         if (chosen.isEmpty()) {
             LogEvent.of("stream.noDestination").request(request.id()).info(LOG);
@@ -108,17 +111,20 @@
             return;
         }
         TargetState holder = chosen.get();
-        holder.reserveCopy(segment.inFlight());
-        reservation = () -> holder.releaseCopy(segment.inFlight());
-        Optional<String> copied = requestCopy(segment, holder);
-        if (copied.isPresent() && !segment.inFlight().hasEnded()) {
-            destination = holder;
-            copyId = copied.get();
-        } else {
-            refusedBy.add(holder.target().id());
-            endReservation();
+        reservation = holder.reserveCopy(segment.inFlight());
+        Optional<String> copied = Optional.empty();
+        try {
+            copied = requestCopy(segment, holder);
+        } finally {
+            if (copied.isPresent() && !segment.inFlight().hasEnded()) {
+                destination = holder;
+                copyId = copied.get();
+            } else {
+                refusedBy.add(holder.target().id());
+                endReservation();
+            }
+            segment.reader().signal();
         }
-        segment.reader().signal();
     }
 
     /** Engines know best whether they have capacity, so one that seems full is asked as well if no other is left. */
--- a/forward/src/main/java/org/verbenatally/forward/TargetState.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetState.java
@@ -30,7 +30,7 @@
     private volatile SourceRevision revision;
     private final Runnable onLoadChange;
     private final Set<InFlightRequest> inFlightRequests = ConcurrentHashMap.newKeySet();
-    private final Set<InFlightRequest> copies = ConcurrentHashMap.newKeySet();
+    private final Set<CopyReservation> copies = ConcurrentHashMap.newKeySet();
     private final Map<InstanceId, PeerLoad> peerLoads = new HashMap<>();
     private volatile PeerLoad peerTotal = PeerLoad.NONE;
     private long suspendedUntil;
@@ -128,14 +128,29 @@
         reportLoadChange(inFlight);
     }
 
-    void reserveCopy(InFlightRequest inFlight) {
-        copies.add(inFlight);
-        reportLoadChange(inFlight);
+    /** Memory at this engine for one copy of a generation. */
+    final class CopyReservation implements AutoCloseable {
+        private final InFlightRequest inFlight;
+
+        private CopyReservation(InFlightRequest inFlight) {
+            this.inFlight = inFlight;
+        }
+
+        /** Returns the memory. Has no effect if it was returned before. */
+        @Override
+        public void close() {
+            if (copies.remove(this)) {
+                reportLoadChange(inFlight);
+            }
+        }
     }
 
-    void releaseCopy(InFlightRequest inFlight) {
-        copies.remove(inFlight);
+    /** Reserves memory for a copy of a generation. An engine may keep several copies of one, each with its own. */
+    CopyReservation reserveCopy(InFlightRequest inFlight) {
+        CopyReservation reservation = new CopyReservation(inFlight);
+        copies.add(reservation);
         reportLoadChange(inFlight);
+        return reservation;
     }
 
     /**
@@ -165,7 +180,9 @@
         return inFlightRequests.stream()
                         .mapToLong(InFlightRequest::expectedMemory)
                         .sum()
-                + copies.stream().mapToLong(InFlightRequest::expectedMemory).sum();
+                + copies.stream()
+                        .mapToLong(copy -> copy.inFlight.expectedMemory())
+                        .sum();
     }
 
     long unreadTokens() {
