--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -52,8 +52,11 @@
     private int runs;
     private Attempt failure;
     private Buffer failureBody;
-    /** Target that was chosen for the next send, with a retry acquired, while the present one is silent. */
-    private TargetState alternative;
+    /** Where to send the request next, chosen while the present target is silent. */
+    private Alternative alternative;
+
+    private record Alternative(TargetState state, RetryAllowance.Permit permit) {}
+
     /** Memory of the responses that are kept. */
     private final BodyMemory.Reservation memory;
 
@@ -68,6 +71,10 @@
     String run() {
         try (memory) {
             return sendUntilAnswered();
+        } finally {
+            if (alternative != null) {
+                alternative.permit().cancel();
+            }
         }
     }
 
@@ -77,10 +84,11 @@
             if (remaining.compareTo(MIN_REMAINING) < 0) {
                 return endUnserved(CallerExchange.GATEWAY_TIMEOUT, "deadline");
             }
-            Optional<TargetState> chosen = Optional.ofNullable(alternative);
+            Optional<Alternative> chosen = Optional.ofNullable(alternative);
             alternative = null;
-            Optional<TargetState> state = chosen.or(
-                    () -> components.chooser().chooseTarget(request.service().name(), tried));
+            Optional<TargetState> state = chosen.map(Alternative::state)
+                    .or(() ->
+                            components.chooser().chooseTarget(request.service().name(), tried));
             if (state.isEmpty() && sends == 0 && ++rounds < MAX_ROUNDS) {
                 tried.clear();
                 TimedAwait.sleep(caller.owner(), ROUND_PAUSE);
@@ -89,11 +97,14 @@
             if (state.isEmpty()) {
                 return endUnserved(CallerExchange.BAD_GATEWAY, "no target");
             }
-            if (chosen.isEmpty()
-                    && !components.retryAllowance().tryAcquire(request.service().name(), sends)) {
+            Optional<RetryAllowance.Permit> permit = chosen.map(Alternative::permit)
+                    .or(() -> components
+                            .retryAllowance()
+                            .tryAcquire(request.service().name(), sends));
+            if (permit.isEmpty()) {
                 return endUnserved(CallerExchange.BAD_GATEWAY, "no repeat allowed");
             }
-            Optional<String> outcome = attempt(state.get(), remaining);
+            Optional<String> outcome = attempt(state.get(), permit.get(), remaining);
             if (outcome.isPresent()) {
                 return outcome.get();
             }
@@ -108,7 +119,7 @@
     }
 
     /** Sends the request once. Returns the outcome, or empty if another target may be tried. */
-    private Optional<String> attempt(TargetState state, Duration remaining) {
+    private Optional<String> attempt(TargetState state, RetryAllowance.Permit permit, Duration remaining) {
         tried.add(state.target().id());
         InFlightRequest inFlight = new InFlightRequest(request.id(), request.traits(), state, null, null, () -> {});
         try {
@@ -130,7 +141,7 @@
                 throw e;
             }
         } catch (StepException e) {
-            return onFailure(state, e);
+            return onFailure(state, permit, e);
         } finally {
             inFlight.end();
         }
@@ -156,14 +167,20 @@
                 .chooser()
                 .chooseTarget(service, tried)
                 .filter(state -> !state.isSuspended(components.timer().nanos()))
-                .filter(state -> components.retryAllowance().tryAcquire(service, sends))
+                .flatMap(state -> components
+                        .retryAllowance()
+                        .tryAcquire(service, sends)
+                        .map(permit -> new Alternative(state, permit)))
                 .orElse(null);
         return alternative != null;
     }
 
-    private Optional<String> onFailure(TargetState state, StepException e) {
+    private Optional<String> onFailure(TargetState state, RetryAllowance.Permit permit, StepException e) {
         long now = components.timer().nanos();
         Attempt.logFailure(request, state, e);
+        if (e.outcome() == Outcome.NOT_RUN) {
+            permit.cancel();
+        }
         if (caller.isGone()) {
             return Optional.of("caller left");
         }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -103,6 +103,10 @@
         metrics.registerGauge(
                 "verbenatally.body.bytes", () -> components.bodyMemory().reserved());
         metrics.registerGauge("verbenatally.response.bytes", responseMemory::reserved);
+        metrics.registerGauge(
+                "verbenatally.sends.first", () -> components.retryAllowance().firstSends());
+        metrics.registerGauge(
+                "verbenatally.sends.retries", () -> components.retryAllowance().retries());
         metrics.registerGauge("verbenatally.target.requests", () -> directory.sumOfStates(TargetState::ownRequests));
         metrics.registerGauge(
                 "verbenatally.quarantined", () -> components.crashDetector().quarantinedCount());
--- a/forward/src/main/java/org/verbenatally/forward/RetryAllowance.java
+++ b/forward/src/main/java/org/verbenatally/forward/RetryAllowance.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.function.IntSupplier;
 
 import org.verbenatally.core.ServiceName;
@@ -31,17 +32,36 @@
     public record Rule(double ratio, Duration window, int slack) {}
 
     private static final class Counts {
-        final Deque<Long> firstSends = new ArrayDeque<>();
-        final Deque<Long> retries = new ArrayDeque<>();
+        final Deque<Permit> firstSends = new ArrayDeque<>();
+        final Deque<Permit> retries = new ArrayDeque<>();
 
         void trim(long oldest) {
             trim(firstSends, oldest);
             trim(retries, oldest);
         }
 
-        private static void trim(Deque<Long> times, long oldest) {
-            while (!times.isEmpty() && times.peekFirst() - oldest < 0) {
-                times.removeFirst();
+        private static void trim(Deque<Permit> permits, long oldest) {
+            while (!permits.isEmpty() && permits.peekFirst().nanos - oldest < 0) {
+                permits.removeFirst();
+            }
+        }
+    }
+
+    /** A send that was counted and may be made. */
+    final class Permit {
+        private final Deque<Permit> counted;
+        private final long nanos;
+
+        private Permit(Deque<Permit> counted) {
+            this.counted = counted;
+            this.nanos = timer.nanos();
+            counted.addLast(this);
+        }
+
+        /** Takes a send that was not made out of the count. Has no effect if it was taken out before. */
+        void cancel() {
+            synchronized (RetryAllowance.this) {
+                counted.removeLastOccurrence(this);
             }
         }
     }
@@ -76,31 +96,41 @@
     }
 
     /**
-     * Returns whether a request may be sent, and counts the send if so.
+     * Counts a send of a request if the rule allows it; empty otherwise.
      *
      * @param previousSends how often the request was sent before
      */
-    boolean tryAcquire(ServiceName service, int previousSends) {
+    Optional<Permit> tryAcquire(ServiceName service, int previousSends) {
         if (previousSends == 0) {
-            countFirstSend(service);
-            return true;
+            return Optional.of(countFirstSend(service));
         }
-        return previousSends < MAX_SENDS && tryRetry(service);
+        return previousSends < MAX_SENDS ? tryRetry(service) : Optional.empty();
     }
 
-    synchronized void countFirstSend(ServiceName service) {
-        counts(service).firstSends.addLast(timer.nanos());
+    synchronized Permit countFirstSend(ServiceName service) {
+        return new Permit(counts(service).firstSends);
     }
 
-    /** Counts a retry if the rule allows it; returns whether it does. */
-    synchronized boolean tryRetry(ServiceName service) {
+    /** Counts a retry if the rule allows it; empty otherwise. */
+    synchronized Optional<Permit> tryRetry(ServiceName service) {
         Counts counts = counts(service);
         double limit =
                 rule.ratio() * counts.firstSends.size() + rule.slack() / (double) Math.max(1, members.getAsInt());
         boolean allowed = counts.retries.size() + 1 <= USED_SHARE * limit;
-        if (allowed) {
-            counts.retries.addLast(timer.nanos());
-        }
-        return allowed;
+        return allowed ? Optional.of(new Permit(counts.retries)) : Optional.empty();
+    }
+
+    /** Returns how many first sends are counted in the present window, over all services. */
+    synchronized int firstSends() {
+        return services.keySet().stream()
+                .mapToInt(s -> counts(s).firstSends.size())
+                .sum();
+    }
+
+    /** Returns how many retries are counted in the present window, over all services. */
+    synchronized int retries() {
+        return services.keySet().stream()
+                .mapToInt(s -> counts(s).retries.size())
+                .sum();
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -117,11 +117,13 @@
             if (admitted.isEmpty()) {
                 return refuse("no engine with room");
             }
-            if (!components.retryAllowance().tryAcquire(request.service().name(), sends)) {
+            Optional<RetryAllowance.Permit> permit =
+                    components.retryAllowance().tryAcquire(request.service().name(), sends);
+            if (permit.isEmpty()) {
                 return refuse("no repeat allowed");
             }
             rank = admitted.get().rank();
-            Optional<String> outcome = sendTo(admitted.get().targetState());
+            Optional<String> outcome = sendTo(admitted.get().targetState(), permit.get());
             if (outcome.isPresent()) {
                 return outcome.get();
             }
@@ -145,7 +147,7 @@
      * Sends the request to an engine and forwards its response. Returns the outcome, or empty if the engine has not run
      * the request.
      */
-    private Optional<String> sendTo(TargetState state) {
+    private Optional<String> sendTo(TargetState state, RetryAllowance.Permit permit) {
         tried.add(state.target().id());
         InFlightRequest inFlight = sender.reserve(state);
         try {
@@ -177,6 +179,7 @@
             Attempt.logFailure(request, state, e);
             inFlight.end();
             if (e.outcome() == Outcome.NOT_RUN) {
+                permit.cancel();
                 sends--;
                 return Optional.empty();
             }
--- a/forward/src/test/java/org/verbenatally/forward/RetryAllowanceTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/RetryAllowanceTest.java
@@ -1,6 +1,7 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
+import java.util.List;
 
 import org.junit.jupiter.api.Test;
 import org.verbenatally.time.ManualTimer;
@@ -24,7 +25,7 @@
             for (int i = 0; i < 40; i++) {
                 allowance.countFirstSend(SERVICE);
                 firstSends++;
-                retries += allowance.tryRetry(SERVICE) ? 1 : 0;
+                retries += allowance.tryRetry(SERVICE).isPresent() ? 1 : 0;
             }
         }
         assertThat(retries).isPositive().isLessThanOrEqualTo((int) (0.2 * firstSends + 56));
@@ -35,9 +36,46 @@
     void retriesAreAllowedAgainAfterWindow() {
         var rule = new RetryAllowance.Rule(0, Duration.ofSeconds(10), 2);
         RetryAllowance allowance = new RetryAllowance(timer, rule, () -> 1);
-        assertThat(allowance.tryRetry(SERVICE)).isTrue();
-        assertThat(allowance.tryRetry(SERVICE)).isFalse();
+        assertThat(allowance.tryRetry(SERVICE)).isPresent();
+        assertThat(allowance.tryRetry(SERVICE)).isEmpty();
         timer.advance(Duration.ofSeconds(11));
-        assertThat(allowance.tryRetry(SERVICE)).isTrue();
+        assertThat(allowance.tryRetry(SERVICE)).isPresent();
+    }
+
+    /** Guards against sends that were not made and still count, or are taken out of the count twice. */
+    @Test
+    void cancelledSendsDoNotCount() {
+        var rule = new RetryAllowance.Rule(0, Duration.ofSeconds(10), 3);
+        RetryAllowance allowance = new RetryAllowance(timer, rule, () -> 1);
+        RetryAllowance.Permit unused = allowance.tryRetry(SERVICE).orElseThrow();
+        assertThat(allowance.tryRetry(SERVICE)).isPresent();
+        assertThat(allowance.tryRetry(SERVICE)).isEmpty();
+        unused.cancel();
+        unused.cancel();
+        assertThat(allowance.retries()).isEqualTo(1);
+        assertThat(allowance.tryRetry(SERVICE)).isPresent();
+        assertThat(allowance.tryRetry(SERVICE)).isEmpty();
+        timer.advance(Duration.ofSeconds(11));
+        assertThat(allowance.retries()).isZero();
+    }
+
+    /** Guards against more retries than the rule allows, since requests that no target accepts count as first sends. */
+    @Test
+    void requestThatWasNeverSentDoesNotCount() throws Exception {
+        try (var fixture = new ForwardFixture();
+                var call = new RawTarget((head, out, socket) -> false);
+                var engine = new RawTarget((head, out, socket) -> false)) {
+            call.close();
+            engine.close();
+            fixture.configure(1);
+            fixture.publish("a", ForwardFixture.CALLS, call);
+            fixture.publish("b", ForwardFixture.ENGINES, engine);
+            for (String path : List.of("/once/x", "/repeat/x", "/stream/x")) {
+                assertThat(fixture.send(fixture.request(path, path).build()).statusCode())
+                        .isEqualTo(503);
+            }
+            assertThat(fixture.awaitGauge("verbenatally_sends_first", 0)).isZero();
+            assertThat(fixture.awaitGauge("verbenatally_sends_retries", 0)).isZero();
+        }
     }
 }
