--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -46,6 +46,9 @@
     private final ForwardComponents components;
     private final ForwardedRequest request;
     private final CallerExchange caller;
+    /** Memory of the responses that are kept. */
+    private final BodyMemory.Reservation memory;
+
     private final Set<TargetId> tried = new HashSet<>();
     private int rounds;
     private int sends;
@@ -57,9 +60,6 @@
 
     private record Alternative(TargetState state, RetryAllowance.Permit permit) {}
 
-    /** Memory of the responses that are kept. */
-    private final BodyMemory.Reservation memory;
-
     CallRun(ForwardComponents components, ForwardedRequest request, CallerExchange caller) {
         this.components = Objects.requireNonNull(components, "components");
         this.request = Objects.requireNonNull(request, "request");
