--- a/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallerExchange.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 import java.util.function.BooleanSupplier;
 
@@ -39,11 +40,13 @@
     private final HttpServerResponse response;
     private final BooleanSupplier stopping;
     private Runnable onGone = () -> {};
-    private Runnable onRelease = () -> {};
+    private Optional<BodyMemory.Reservation> bodyMemory = Optional.empty();
     private String requestId = "";
     private boolean gone;
     private boolean aborted;
     private boolean closing;
+    /** The present wait until the caller has read what was written. */
+    private Promise<Void> drained = Promise.promise();
 
     /**
      * Wraps a request whose body has not been read.
@@ -65,6 +68,7 @@
     private void onDisconnect() {
         if (!gone && !response.ended()) {
             gone = true;
+            drained.tryComplete();
             onGone.run();
         }
     }
@@ -140,29 +144,34 @@
      */
     BodyEnd readBody(Buffer body, int maxBytes, BodyMemory memory, Duration limit) throws TimeoutException {
         Promise<BodyEnd> end = Promise.promise();
+        BodyMemory.Reservation reservation = memory.open();
+        bodyMemory = Optional.of(reservation);
         request.handler(chunk -> {
             if (end.future().isComplete()) {
                 return;
             }
             if (body.length() + chunk.length() > maxBytes) {
                 end.tryComplete(BodyEnd.TOO_LARGE);
-            } else if (!memory.reserve(chunk.length())) {
+            } else if (!reservation.add(chunk.length())) {
                 end.tryComplete(BodyEnd.NO_MEMORY);
             } else {
                 body.appendBuffer(chunk);
             }
         });
         request.endHandler(v -> end.tryComplete(BodyEnd.COMPLETE));
-        onGone = () -> end.tryFail("caller has left");
-        onRelease = () -> memory.release(body.length());
+        onGone(() -> end.tryFail("caller has left"));
         request.resume();
-        return TimedAwait.await(end.future(), limit);
+        try {
+            return TimedAwait.await(end.future(), limit);
+        } finally {
+            // The rest of a body that is no longer awaited is read and discarded.
+            end.tryFail("body is no longer awaited");
+        }
     }
 
-    /** Releases the memory of the body. */
+    /** Releases the memory of the body; nothing can be reserved for it after that. */
     void release() {
-        onRelease.run();
-        onRelease = () -> {};
+        bodyMemory.ifPresent(BodyMemory.Reservation::close);
     }
 
     /**
@@ -243,7 +252,7 @@
         }
         response.write(chunk);
         if (response.writeQueueFull()) {
-            Promise<Void> drained = Promise.promise();
+            drained = Promise.promise();
             response.drainHandler(v -> drained.tryComplete());
             try {
                 TimedAwait.await(drained.future(), WRITE_TIMEOUT);
