--- a/entry/src/main/java/org/verbenatally/entry/target/EngineClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/EngineClient.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.json.JsonObject;
@@ -13,6 +12,7 @@
 import org.verbenatally.core.GenerationId;
 import org.verbenatally.core.ModelName;
 import org.verbenatally.core.OrganisationId;
+import org.verbenatally.http.ConnectionHistory.Exchange;
 
 /**
  * Client of the engines' generation protocol. Each attachment uses a new connection, because an idle pooled one may
@@ -66,9 +66,9 @@
                 .put("priority", start.priority())
                 .put("organisation", start.organisation().value());
         start.adapter().ifPresent(adapter -> body.put("adapter", adapter));
-        HttpClientRequest request = http.connect(target, HttpMethod.POST, "/v1/generations");
-        request.putHeader("Content-Type", "application/json");
-        return attach(target, request, body.toBuffer());
+        Exchange exchange = http.connect(target, HttpMethod.POST, "/v1/generations");
+        exchange.request().putHeader("Content-Type", "application/json");
+        return attach(target, exchange, body.toBuffer());
     }
 
     /**
@@ -77,37 +77,36 @@
      * @throws TargetFailure with cause {@code UNKNOWN_GENERATION} if the engine does not know it
      */
     public TokenFeed resume(Target target, GenerationId generation, long from) throws TargetFailure {
-        HttpClientRequest request =
+        Exchange exchange =
                 http.connect(target, HttpMethod.GET, "/v1/generations/" + generation.value() + "?from=" + from);
-        return attach(target, request, null);
+        return attach(target, exchange, null);
     }
 
-    private TokenFeed attach(Target target, HttpClientRequest request, Buffer body) throws TargetFailure {
-        HttpClientResponse response = http.send(target, request, body, TokenFeed.SILENCE_TIMEOUT);
+    private TokenFeed attach(Target target, Exchange exchange, Buffer body) throws TargetFailure {
+        HttpClientResponse response = http.send(target, exchange, body, TokenFeed.SILENCE_TIMEOUT);
         if (response.statusCode() != OK) {
-            throw refusal(target, request, response);
+            throw refusal(target, exchange, response);
         }
         try {
             long attachment = Long.parseLong(Objects.requireNonNullElse(response.getHeader("Attachment"), ""));
-            TokenFeed feed = new TokenFeed(http.vertx(), request, response, attachment);
+            TokenFeed feed = new TokenFeed(http.vertx(), exchange, response, attachment);
             response.resume();
             return feed;
         } catch (NumberFormatException e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(
                     target.id(), TargetFailure.Cause.BAD_ANSWER, "header Attachment must be a number", e);
         }
     }
 
-    private TargetFailure refusal(Target target, HttpClientRequest request, HttpClientResponse response)
-            throws TargetFailure {
+    private TargetFailure refusal(Target target, Exchange exchange, HttpClientResponse response) throws TargetFailure {
         int status = response.statusCode();
         if (status == NOT_FOUND) {
-            request.reset();
+            exchange.cancel();
             return new TargetFailure(
                     target.id(), TargetFailure.Cause.UNKNOWN_GENERATION, "engine does not know the generation");
         }
-        Buffer body = http.readBody(target, request, response, MAX_REFUSAL_BYTES, TokenFeed.SILENCE_TIMEOUT);
+        Buffer body = http.readBody(target, exchange, response, MAX_REFUSAL_BYTES, TokenFeed.SILENCE_TIMEOUT);
         return status == UNAVAILABLE
                 ? Refusals.parse(target.id(), body)
                 : new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, "unexpected status " + status);
@@ -120,11 +119,11 @@
      * @throws TargetFailure if the engine could not be reached or violated the protocol
      */
     public boolean cancel(Target target, GenerationId generation, long attachment) throws TargetFailure {
-        HttpClientRequest request = http.connect(
+        Exchange exchange = http.connect(
                 target, HttpMethod.DELETE, "/v1/generations/" + generation.value() + "?attachment=" + attachment);
-        HttpClientResponse response = http.send(target, request, null, CANCEL_TIMEOUT);
+        HttpClientResponse response = http.send(target, exchange, null, CANCEL_TIMEOUT);
         int status = response.statusCode();
-        request.reset();
+        exchange.cancel();
         if (status == CONFLICT) {
             return false;
         }
--- a/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
@@ -13,7 +13,6 @@
 
 import io.vertx.core.Context;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
@@ -26,6 +25,7 @@
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.ModelName;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.http.ConnectionHistory.Exchange;
 import org.verbenatally.policy.ReportedLoad;
 import org.verbenatally.policy.TargetTable;
 import org.verbenatally.time.TimerService;
@@ -148,9 +148,9 @@
     }
 
     private ReportedLoad fetch(Target target) throws TargetFailure {
-        HttpClientRequest request = http.connectForLoad(target, "/v1/load");
-        HttpClientResponse response = http.send(target, request, null, TIMEOUT);
-        Buffer body = http.readBody(target, request, response, MAX_REPORT_BYTES, TIMEOUT);
+        Exchange exchange = http.connectForLoad(target, "/v1/load");
+        HttpClientResponse response = http.send(target, exchange, null, TIMEOUT);
+        Buffer body = http.readBody(target, exchange, response, MAX_REPORT_BYTES, TIMEOUT);
         try {
             if (response.statusCode() != OK) {
                 throw new IllegalArgumentException("status is " + response.statusCode());
--- a/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/ServiceClient.java
@@ -7,12 +7,12 @@
 import java.util.function.BooleanSupplier;
 
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.KindName;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.http.ConnectionHistory.Exchange;
 
 /** Client of plain services. Methods wait and must run in a virtual-thread task. */
 public final class ServiceClient {
@@ -62,26 +62,25 @@
             BooleanSupplier maySend)
             throws TargetFailure {
         String uri = "/v1/calls/" + kind.value();
-        HttpClientRequest request = newConnection || !statingTargets.contains(target.id())
+        Exchange exchange = newConnection || !statingTargets.contains(target.id())
                 ? http.connect(target, HttpMethod.POST, uri)
                 : http.connectPooled(target, HttpMethod.POST, uri);
         if (!maySend.getAsBoolean()) {
-            request.reset();
+            exchange.release();
             throw new TargetFailure(
                     target.id(), TargetFailure.Cause.NOT_CONNECTED, "the call expired before it was sent");
         }
-        boolean reused = http.isReused(request);
-        request.putHeader("Content-Type", "application/json").putHeader(CALL_ID, callId);
+        exchange.request().putHeader("Content-Type", "application/json").putHeader(CALL_ID, callId);
         long start = System.nanoTime();
-        HttpClientResponse response = http.send(target, request, body, timeout);
+        HttpClientResponse response = http.send(target, exchange, body, timeout);
         String statedId = response.getHeader(CALL_ID);
-        if (statedId == null ? reused : !statedId.equals(callId)) {
-            request.reset();
+        if (statedId == null ? exchange.isReused() : !statedId.equals(callId)) {
+            exchange.cancel();
             throw new TargetFailure(
                     target.id(), TargetFailure.Cause.BAD_ANSWER, "response does not state that it belongs to the call");
         }
         Duration remaining = timeout.minusNanos(System.nanoTime() - start);
-        Buffer responseBody = http.readBody(target, request, response, MAX_RESPONSE_BYTES, remaining);
+        Buffer responseBody = http.readBody(target, exchange, response, MAX_RESPONSE_BYTES, remaining);
         if (statedId == null) {
             statingTargets.remove(target.id());
         } else {
--- a/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
@@ -3,9 +3,7 @@
 import java.net.ConnectException;
 import java.nio.channels.ClosedChannelException;
 import java.time.Duration;
-import java.util.Collections;
-import java.util.Set;
-import java.util.WeakHashMap;
+import java.util.Optional;
 import java.util.concurrent.TimeoutException;
 
 import io.vertx.core.Future;
@@ -16,11 +14,13 @@
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.verbenatally.config.Target;
+import org.verbenatally.http.ConnectionHistory;
+import org.verbenatally.http.ConnectionHistory.Exchange;
+import org.verbenatally.http.ResponseHeads;
 import org.verbenatally.time.TimedAwait;
 
 /** HTTP client for all requests to targets. Methods wait and must run in a virtual-thread task. */
@@ -35,9 +35,7 @@
     private final HttpClient unpooledClient;
     private final HttpClient pooledClient;
     private final HttpClient loadClient;
-    /** Pooled connections on which a response has arrived; held weakly, as they are of no use once they are closed. */
-    private final Set<HttpConnection> usedConnections =
-            Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
+    private final ConnectionHistory history = new ConnectionHistory();
 
     TargetHttpClient(Vertx vertx) {
         this.vertx = vertx;
@@ -65,27 +63,30 @@
         return vertx;
     }
 
-    /** Creates a request on a new connection. */
-    HttpClientRequest connect(Target target, HttpMethod method, String uri) throws TargetFailure {
+    /** Begins an exchange on a new connection, which is closed after it. */
+    Exchange connect(Target target, HttpMethod method, String uri) throws TargetFailure {
         return connect(unpooledClient, target, method, uri);
     }
 
-    /** Creates a request on a pooled connection, or on a new one if none is idle. */
-    HttpClientRequest connectPooled(Target target, HttpMethod method, String uri) throws TargetFailure {
+    /** Begins an exchange on a pooled connection, or on a new one if none is idle. */
+    Exchange connectPooled(Target target, HttpMethod method, String uri) throws TargetFailure {
         return connect(pooledClient, target, method, uri);
     }
 
-    /** Creates a request for a load report, on a pooled connection that carries no other requests. */
-    HttpClientRequest connectForLoad(Target target, String uri) throws TargetFailure {
+    /** Begins an exchange for a load report, on a pooled connection that carries no other requests. */
+    Exchange connectForLoad(Target target, String uri) throws TargetFailure {
         return connect(loadClient, target, HttpMethod.GET, uri);
     }
 
-    /** Returns whether a response has arrived on the connection of a request that has not been sent. */
-    boolean isReused(HttpClientRequest request) {
-        return usedConnections.contains(request.connection());
+    private Exchange connect(HttpClient client, Target target, HttpMethod method, String uri) throws TargetFailure {
+        Optional<Exchange> exchange = Optional.empty();
+        while (exchange.isEmpty()) {
+            exchange = history.begin(request(client, target, method, uri));
+        }
+        return exchange.get();
     }
 
-    private HttpClientRequest connect(HttpClient client, Target target, HttpMethod method, String uri)
+    private static HttpClientRequest request(HttpClient client, Target target, HttpMethod method, String uri)
             throws TargetFailure {
         RequestOptions options = new RequestOptions()
                 .setHost(target.address().host())
@@ -125,21 +126,26 @@
      * Sends the request and waits for the head of the response, which is returned paused. Once this method is called,
      * bytes may have been sent.
      */
-    HttpClientResponse send(Target target, HttpClientRequest request, Buffer body, Duration timeout)
-            throws TargetFailure {
+    HttpClientResponse send(Target target, Exchange exchange, Buffer body, Duration timeout) throws TargetFailure {
+        HttpClientRequest request = exchange.request();
         Future<HttpClientResponse> sendFuture = body == null ? request.send() : request.send(body);
         Future<HttpClientResponse> headFuture = sendFuture.onSuccess(
                 response -> response.exceptionHandler(e -> {}).pause());
         try {
             HttpClientResponse response = TimedAwait.await(headFuture, timeout);
-            usedConnections.add(request.connection());
+            if (ResponseHeads.isJoined(response)) {
+                throw new IllegalArgumentException("the head of the response holds that of another one");
+            }
             return response;
         } catch (TimeoutException e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(
                     target.id(), TargetFailure.Cause.SILENT, "no response within " + timeout.toMillis() + " ms", e);
+        } catch (IllegalArgumentException e) {
+            exchange.cancel();
+            throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, e.getMessage(), e);
         } catch (Exception e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(
                     target.id(),
                     TargetFailure.Cause.BROKEN,
@@ -149,8 +155,7 @@
     }
 
     /** Reads the complete body of a paused response. */
-    Buffer readBody(
-            Target target, HttpClientRequest request, HttpClientResponse response, int maxBytes, Duration timeout)
+    Buffer readBody(Target target, Exchange exchange, HttpClientResponse response, int maxBytes, Duration timeout)
             throws TargetFailure {
         Promise<Buffer> complete = Promise.promise();
         Buffer collected = Buffer.buffer();
@@ -167,13 +172,13 @@
         try {
             return TimedAwait.await(complete.future(), timeout);
         } catch (TimeoutException e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(target.id(), TargetFailure.Cause.SILENT, "response was not complete in time", e);
         } catch (IllegalArgumentException e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, e.getMessage(), e);
         } catch (Exception e) {
-            request.reset();
+            exchange.cancel();
             throw new TargetFailure(target.id(), TargetFailure.Cause.BROKEN, "connection lost during the response", e);
         }
     }
--- a/entry/src/main/java/org/verbenatally/entry/target/TokenFeed.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TokenFeed.java
@@ -6,10 +6,10 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonObject;
+import org.verbenatally.http.ConnectionHistory.Exchange;
 
 /** One attachment to a generation: delivers the items received on one connection, in order. */
 public final class TokenFeed {
@@ -22,7 +22,7 @@
     private static final int MAX_TOKEN_CHARS = 16_384;
 
     private final Vertx vertx;
-    private final HttpClientRequest request;
+    private final Exchange exchange;
     private final HttpClientResponse response;
     private final long attachment;
     private final EventParser parser = new EventParser(this::onEvent);
@@ -61,9 +61,9 @@
      */
     public record Disconnected(TargetFailure.Cause cause, String message) implements Item {}
 
-    TokenFeed(Vertx vertx, HttpClientRequest request, HttpClientResponse response, long attachment) {
+    TokenFeed(Vertx vertx, Exchange exchange, HttpClientResponse response, long attachment) {
         this.vertx = vertx;
-        this.request = request;
+        this.exchange = exchange;
         this.response = response;
         this.attachment = attachment;
         response.handler(this::onChunk);
@@ -179,8 +179,8 @@
             wakeReader();
         }
         vertx.cancelTimer(silenceTimer);
-        // Reset after the end event too, so that an engine cannot keep the connection open.
-        request.reset();
+        // Cancelled after the end event too, so that an engine cannot keep the connection open.
+        exchange.cancel();
     }
 
     private void wakeReader() {
--- a/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
@@ -1,35 +1,26 @@
 package org.verbenatally.entry.target;
 
 import java.io.IOException;
-import java.io.InputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiFunction;
+import java.util.stream.Stream;
 
-import io.vertx.core.DeploymentOptions;
-import io.vertx.core.Future;
-import io.vertx.core.ThreadingModel;
-import io.vertx.core.VerticleBase;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.verbenatally.config.Target;
-import org.verbenatally.config.TargetType;
-import org.verbenatally.core.Address;
-import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.KindName;
-import org.verbenatally.core.TargetId;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.verbenatally.entry.target.RawService.response;
 
 /** Calls to a service whose responses are written byte by byte. */
 class ServiceClientTest {
@@ -37,108 +28,39 @@
 
     private final Vertx vertx = Vertx.vertx();
     private final ServiceClient client = new TargetClients(vertx).services();
-    private final AtomicInteger connections = new AtomicInteger();
-    private ServerSocket server;
+    private RawService service;
 
     @AfterEach
     void stop() throws Exception {
-        server.close();
+        service.close();
         vertx.close();
     }
 
-    private static String response(int status, String headers, String body) {
-        return "HTTP/1.1 " + status + " x\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body;
-    }
-
-    private static String callId(String request) {
-        return request.lines()
-                .filter(line -> line.regionMatches(true, 0, "Call-Id: ", 0, 9))
-                .map(line -> line.substring(9))
-                .findFirst()
-                .orElseThrow();
-    }
-
     /** Starts a service that writes what the script returns for the id of a call and its number on its connection. */
     private Target service(BiFunction<String, Integer, String> script) throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        Thread.ofVirtual().start(() -> {
-            while (!server.isClosed()) {
-                try {
-                    Socket socket = server.accept();
-                    connections.incrementAndGet();
-                    Thread.ofVirtual().start(() -> serve(socket, script));
-                } catch (IOException e) {
-                    return;
-                }
-            }
-        });
-        Address address = new Address(server.getInetAddress().getHostAddress(), server.getLocalPort());
-        return new Target(
-                new TargetId("t"),
-                TargetType.SERVICE,
-                address,
-                new FailureDomain("Bole"),
-                List.of(),
-                "serve",
-                false,
-                8,
-                false);
-    }
-
-    private static void serve(Socket socket, BiFunction<String, Integer, String> script) {
-        try (socket) {
-            InputStream in = socket.getInputStream();
-            for (int i = 0; ; i++) {
-                StringBuilder request = new StringBuilder();
-                while (request.indexOf("\r\n\r\n{}") < 0) {
-                    int next = in.read();
-                    if (next < 0) {
-                        return;
-                    }
-                    request.append((char) next);
-                }
-                socket.getOutputStream()
-                        .write(script.apply(callId(request.toString()), i).getBytes(StandardCharsets.UTF_8));
-            }
-        } catch (IOException e) {
-            // The client has closed the connection.
-        }
+        service = new RawService((head, i) -> script.apply(RawService.header(head, "Call-Id"), i));
+        return service.target();
     }
 
     /** Makes a call on a pooled connection and returns the body of the response, or the cause of the failure. */
     private String call(Target target, String id) throws Exception {
-        CompletableFuture<String> result = new CompletableFuture<>();
-        vertx.deployVerticle(
-                new VerticleBase() {
-                    @Override
-                    public Future<?> start() {
-                        try {
-                            var response = client.call(
-                                    target,
-                                    new KindName("check"),
-                                    id,
-                                    Buffer.buffer("{}"),
-                                    false,
-                                    Duration.ofSeconds(5),
-                                    () -> true);
-                            result.complete(response.body().toString());
-                        } catch (TargetFailure e) {
-                            result.complete(e.reason().toString());
-                        }
-                        return Future.succeededFuture();
-                    }
-                },
-                new DeploymentOptions().setThreadingModel(ThreadingModel.VIRTUAL_THREAD));
-        return result.get(10, TimeUnit.SECONDS);
+        return RawService.run(vertx, () -> call(target, id, Duration.ofSeconds(5)));
+    }
+
+    private String call(Target target, String id, Duration timeout) throws TargetFailure {
+        var response = client.call(target, new KindName("check"), id, Buffer.buffer("{}"), false, timeout, () -> true);
+        return response.body().toString();
     }
 
     /** Makes calls until one has been made on a connection that was used before; returns the results in order. */
     private List<String> callUntilConnectionIsReused(Target target) throws Exception {
         List<String> results = new ArrayList<>();
-        while (results.size() == connections.get() && results.size() < MAX_CALLS) {
+        while (results.size() == service.connections() && results.size() < MAX_CALLS) {
             results.add(call(target, "c" + results.size()));
         }
-        assertThat(connections).as("connections for %d calls", results.size()).hasValue(results.size() - 1);
+        assertThat(service.connections())
+                .as("connections for %d calls", results.size())
+                .isEqualTo(results.size() - 1);
         return results;
     }
 
@@ -168,7 +90,109 @@
         Target target = service((id, i) -> response(200, "", "answer " + i));
         for (int i = 1; i <= 10; i++) {
             assertThat(call(target, "c" + i)).isEqualTo("answer 0");
-            assertThat(connections).hasValue(i);
+            assertThat(service.connections()).isEqualTo(i);
         }
     }
+
+    /** Guards against a success that is joined from the status of one response and the fields of the next one. */
+    @Test
+    void joinedHeadIsNotBelieved() throws Exception {
+        Target target =
+                service((id, i) -> "HTTP/1.1 200 O" + response(500, "Call-Id: " + id + "\r\n", "failure of " + id));
+        assertThat(call(target, "c1")).isEqualTo("BAD_ANSWER");
+    }
+
+    /**
+     * Guards against a connection that serves another call although an earlier one on it was given up: its response
+     * arrived between the end of the wait and the reset, which then found nothing to break off.
+     */
+    @Test
+    void connectionOfCallThatTimedOutIsNotReused() throws Exception {
+        // Each connection is served by a thread of its own.
+        AtomicReference<Thread> given = new AtomicReference<>();
+        List<Thread> used = Collections.synchronizedList(new ArrayList<>());
+        AtomicReference<CountDownLatch> all = new AtomicReference<>();
+        service = new RawService((head, i) -> {
+            String id = RawService.header(head, "Call-Id");
+            if (id.equals("late")) {
+                given.set(Thread.currentThread());
+                Thread.sleep(200);
+            } else if (id.equals("next")) {
+                used.add(Thread.currentThread());
+                all.get().countDown();
+                all.get().await();
+            }
+            return response(200, "Call-Id: " + id + "\r\n", id + " on " + i);
+        });
+        Target target = service.target();
+        assertThat(callUntilConnectionIsReused(target)).last().asString().endsWith("on 1");
+        String late = RawService.run(vertx, () -> {
+            // Occupies the context of the call from before its timeout until after the response.
+            vertx.setTimer(50, id -> sleep(300));
+            return call(target, "late", Duration.ofMillis(100));
+        });
+        assertThat(late).isEqualTo("SILENT");
+        // More calls at a time than there are connections, so that each connection in the pool gets one.
+        int calls = service.connections() + 1;
+        all.set(new CountDownLatch(calls));
+        List<CompletableFuture<String>> results = Stream.generate(() -> CompletableFuture.supplyAsync(
+                        () -> {
+                            try {
+                                return call(target, "next");
+                            } catch (Exception e) {
+                                throw new CompletionException(e);
+                            }
+                        },
+                        task -> Thread.ofVirtual().start(task)))
+                .limit(calls)
+                .toList();
+        assertThat(results).allSatisfy(result -> assertThat(result.join()).startsWith("next on "));
+        assertThat(used).hasSize(calls).doesNotContain(given.get());
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** Guards against a connection that serves another call although more than one response has arrived on it. */
+    @Test
+    void connectionWithAnUnexpectedResponseIsNotReused() throws Exception {
+        // Each connection is served by a thread of its own.
+        AtomicReference<Thread> given = new AtomicReference<>();
+        Target target = service((id, i) -> {
+            boolean copied = given.get() == Thread.currentThread();
+            String own = response(200, "Call-Id: " + id + "\r\n", copied ? "behind a copy" : id + " on " + i);
+            return i == 1 && given.compareAndSet(null, Thread.currentThread()) ? own + own : own;
+        });
+        assertThat(callUntilConnectionIsReused(target)).last().asString().endsWith("on 1");
+        for (int i = 0; i < 5; i++) {
+            // The pool may hand the connection out once more while it is being closed.
+            assertThat(call(target, "next"))
+                    .satisfiesAnyOf(
+                            result -> assertThat(result).startsWith("next on "),
+                            result -> assertThat(result).isIn("NOT_CONNECTED", "BROKEN"));
+        }
+    }
+
+    /** Guards against new connections for calls to a service that is sound. */
+    @Test
+    void soundConnectionsAreReused() throws Exception {
+        Target target = service((id, i) -> response(200, "Call-Id: " + id + "\r\n", id));
+        String answers = RawService.run(vertx, () -> {
+            StringBuilder collected = new StringBuilder();
+            for (int i = 0; i < 50; i++) {
+                collected.append(call(target, "c" + i, Duration.ofSeconds(5)));
+            }
+            return collected.toString();
+        });
+        assertThat(answers).startsWith("c0c1c2").endsWith("c48c49");
+        // One for the first call, which finds out that the service states ids, and two that are pooled: a call may
+        // begin
+        // just before the connection of the one before it is given back.
+        assertThat(service.connections()).isLessThanOrEqualTo(3);
+    }
 }
