--- a/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/LoadPoller.java
@@ -12,9 +12,6 @@
 import java.util.function.Consumer;
 
 import io.vertx.core.Context;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.json.DecodeException;
 import io.vertx.core.json.JsonArray;
 import io.vertx.core.json.JsonObject;
 import org.jboss.logging.Logger;
@@ -25,7 +22,6 @@
 import org.verbenatally.core.Incarnation;
 import org.verbenatally.core.ModelName;
 import org.verbenatally.core.TargetId;
-import org.verbenatally.http.ConnectionHistory.Exchange;
 import org.verbenatally.policy.ReportedLoad;
 import org.verbenatally.policy.TargetTable;
 import org.verbenatally.time.TimerService;
@@ -38,17 +34,14 @@
     private static final Logger LOG = Logger.getLogger(LoadPoller.class);
     private static final Duration CHECK_PERIOD = Duration.ofMillis(100);
     private static final Duration POLL_PERIOD = Duration.ofMillis(500);
-    private static final Duration TIMEOUT = Duration.ofSeconds(1);
     /** A report takes about 300 bytes, so 48 per second leave bandwidth for gossip within 18 KB/s. */
     private static final int POLLS_PER_SECOND = 48;
 
-    private static final int MAX_REPORT_BYTES = 16_384;
     private static final int MAX_MODELS = 256;
     private static final long MAX_REQUESTS = 10_000_000;
     private static final long MAX_TOKENS = 1_000_000_000_000L;
-    private static final int OK = 200;
 
-    private final TargetHttpClient http;
+    private final LoadClient client;
     private final Context context;
     private final TimerService timer;
     private final ConfigHolder<Deployment> config;
@@ -75,7 +68,7 @@
             ConfigHolder<Deployment> config,
             TargetTable targets,
             Consumer<TargetId> onLeaving) {
-        this.http = clients.http();
+        this.client = new LoadClient(clients.http());
         this.context = Objects.requireNonNull(context, "context");
         this.timer = Objects.requireNonNull(timer, "timer");
         this.config = Objects.requireNonNull(config, "config");
@@ -93,6 +86,7 @@
         int count = deployment.targets().size();
         long periodNanos = Math.max(POLL_PERIOD.toNanos(), count * TimeUnit.SECONDS.toNanos(1) / POLLS_PER_SECOND);
         nextPollNanos.keySet().retainAll(deployment.targets().keySet());
+        client.retainAll(deployment.targets().keySet());
         incarnations.keySet().retainAll(deployment.targets().keySet());
         int index = 0;
         for (Target target : deployment.targets().values()) {
@@ -108,7 +102,7 @@
 
     private void poll(Target target) {
         try {
-            ReportedLoad load = fetch(target);
+            ReportedLoad load = client.poll(target);
             boolean wasLeaving = targets.leavingTargets().contains(target.id());
             targets.recordReport(target.id(), load);
             incarnations.put(target.id(), load.incarnation());
@@ -139,7 +133,7 @@
             return false;
         }
         try {
-            Incarnation now = fetch(target).incarnation();
+            Incarnation now = client.readOnce(target).incarnation();
             incarnations.put(target.id(), now);
             return !now.equals(previous.get());
         } catch (TargetFailure e) {
@@ -147,22 +141,6 @@
         }
     }
 
-    private ReportedLoad fetch(Target target) throws TargetFailure {
-        Exchange exchange = http.connectForLoad(target, "/v1/load");
-        HttpClientResponse response = http.send(target, exchange, null, TIMEOUT);
-        Buffer body = http.readBody(target, exchange, response, MAX_REPORT_BYTES, TIMEOUT);
-        try {
-            if (response.statusCode() != OK) {
-                throw new IllegalArgumentException("status is " + response.statusCode());
-            }
-            return parse(target, new JsonObject(body));
-        } catch (DecodeException | ClassCastException e) {
-            throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, "report is malformed", e);
-        } catch (IllegalArgumentException e) {
-            throw new TargetFailure(target.id(), TargetFailure.Cause.BAD_ANSWER, e.getMessage(), e);
-        }
-    }
-
     /**
      * Parses a load report.
      *
