--- a/core/src/main/java/org/verbenatally/order/HttpEngineControl.java
+++ b/core/src/main/java/org/verbenatally/order/HttpEngineControl.java
@@ -20,6 +20,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.ResponseHeads;
 
 /** Client of the engines' HTTP interface: {@code GET /v1/load} and {@code POST /v1/orders}. */
 public final class HttpEngineControl implements EngineControl, AutoCloseable {
@@ -30,8 +31,8 @@
     private final HttpClient client;
 
     /**
-     * Creates a client. Connections are not kept alive: reads are rare, and an idle connection may have failed
-     * unnoticed.
+     * Creates a client. Connections are not kept alive: reads are rare, an idle connection may have failed unnoticed,
+     * and a response does not state to which request it belongs.
      */
     public HttpEngineControl(Vertx vertx) {
         client = vertx.createHttpClient(new HttpClientOptions()
@@ -68,6 +69,9 @@
                 .compose(request ->
                         request.putHeader("Content-Type", "application/json").send(body))
                 .compose(response -> response.body().map(b -> {
+                    if (ResponseHeads.isJoined(response)) {
+                        throw failure(engine, "the head of the response holds that of another one", null);
+                    }
                     if (response.statusCode() != expectedStatus || b.length() > MAX_BODY_BYTES) {
                         throw failure(engine, "status " + response.statusCode() + ", expected " + expectedStatus, null);
                     }
--- a/core/src/main/java/org/verbenatally/peer/PlatformClient.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformClient.java
@@ -33,6 +33,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.ResponseHeads;
 
 /** HTTP client for the platform's configuration and instance list. Futures fail with a {@link StepException}. */
 final class PlatformClient {
@@ -63,7 +64,8 @@
         this.address = address;
         http = vertx.createHttpClient(new HttpClientOptions()
                 .setConnectTimeout((int) TIMEOUT.toMillis())
-                // Connections are not pooled, so that a silent one cannot delay the next read; reads are rare.
+                // Connections are not pooled, so that neither a silent one nor a late response can
+                // reach the next read; reads are rare.
                 .setKeepAlive(false));
     }
 
@@ -102,6 +104,9 @@
     }
 
     private Future<Optional<byte[]>> readBody(HttpClientResponse response) {
+        if (ResponseHeads.isJoined(response)) {
+            return Future.failedFuture(failure("the head of the response holds that of another one", null));
+        }
         if (response.statusCode() == NOT_MODIFIED) {
             return Future.succeededFuture(Optional.empty());
         }
--- a/core/src/test/java/org/verbenatally/peer/PlatformClientTest.java
+++ b/core/src/test/java/org/verbenatally/peer/PlatformClientTest.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.Stream;
 
 import io.vertx.core.Vertx;
 import io.vertx.core.http.HttpServer;
+import io.vertx.core.net.NetServer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -15,6 +17,7 @@
 import org.verbenatally.core.Address;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 class PlatformClientTest {
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
@@ -91,4 +94,44 @@
         assertThat(idsOf("[" + SOUND.formatted("a").replace("9001", unread) + "]"))
                 .containsExactly("a");
     }
+
+    private static String response(int status, String body) {
+        return "HTTP/1.1 " + status + " x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    /** Starts a platform that writes the same bytes for each request. */
+    private PlatformClient client(String bytes, AtomicInteger connections) throws Exception {
+        NetServer server = vertx.createNetServer()
+                .connectHandler(socket -> {
+                    connections.incrementAndGet();
+                    socket.handler(request -> socket.write(bytes));
+                })
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(TIMEOUT.toSeconds(), TimeUnit.SECONDS);
+        return new PlatformClient(vertx, new Address("127.0.0.1", server.actualPort()));
+    }
+
+    /** Guards against a list or document whose status is that of a response that was broken off. */
+    @Test
+    void joinedHeadIsNotBelieved() throws Exception {
+        PlatformClient client = client("HTTP/1.1 200 O" + response(500, "[]"), new AtomicInteger());
+        assertThatThrownBy(() -> client.instances().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                .hasMessageContaining("the head of the response");
+        assertThatThrownBy(() -> client.config(0, Duration.ZERO).get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                .hasMessageContaining("the head of the response");
+    }
+
+    /** Guards against a second copy of a response that is taken for the response to the next read. */
+    @Test
+    void eachReadUsesANewConnection() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        PlatformClient client = client(response(200, "[]") + response(200, "[7]"), connections);
+        for (int i = 0; i < 10; i++) {
+            assertThat(client.instances().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                    .isEmpty();
+        }
+        assertThat(connections).hasValue(10);
+    }
 }
--- a/ctl/src/main/java/org/verbenatally/ctl/EntryResponses.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/EntryResponses.java
@@ -16,10 +16,12 @@
 import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
+import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.verbenatally.core.Address;
+import org.verbenatally.http.ResponseHeads;
 
 /**
  * Responses of the operator endpoints of several entries.
@@ -52,7 +54,9 @@
         EntryResponses result = new EntryResponses(new ArrayList<>(), new ArrayList<>());
         Vertx vertx = Vertx.vertx();
         try {
-            HttpClient client = vertx.createHttpClient(new HttpClientOptions().setConnectTimeout(TIMEOUT_MS));
+            // Responses do not state to which request they belong, and an address may be given twice.
+            HttpClient client = vertx.createHttpClient(
+                    new HttpClientOptions().setConnectTimeout(TIMEOUT_MS).setKeepAlive(false));
             for (Address address : parsed) {
                 try {
                     fetch(client, address, path).ifPresent(result.responses::add);
@@ -77,6 +81,7 @@
     private static Optional<JsonNode> fetch(HttpClient client, Address address, String path) throws IOException {
         Future<Optional<Buffer>> bodyOrEmpty = client.request(HttpMethod.GET, address.port(), address.host(), path)
                 .compose(HttpClientRequest::send)
+                .compose(EntryResponses::checkHead)
                 .compose(response -> switch (response.statusCode()) {
                     case HTTP_OK -> response.body().map(Optional::of);
                     case NOT_FOUND -> Future.succeededFuture(Optional.empty());
@@ -98,6 +103,12 @@
         }
     }
 
+    private static Future<HttpClientResponse> checkHead(HttpClientResponse response) {
+        return ResponseHeads.isJoined(response)
+                ? Future.failedFuture("the head of the response holds that of another one")
+                : Future.succeededFuture(response);
+    }
+
     /** Prints each entry that could not be queried, with the reason. */
     void printFailures(Console console) {
         failures.forEach(failure -> console.err().println("cannot query " + failure));
--- a/ctl/src/test/java/org/verbenatally/ctl/OperatorCommandsTest.java
+++ b/ctl/src/test/java/org/verbenatally/ctl/OperatorCommandsTest.java
@@ -13,8 +13,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 
 import com.sun.net.httpserver.HttpServer;
+import io.vertx.core.Vertx;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -80,6 +83,45 @@
         assertThat(text(err)).contains("no entry remembers request r2");
     }
 
+    /**
+     * Guards against a report whose status is that of a response that was broken off, and against a second copy of a
+     * response that is taken for the one of the next query.
+     */
+    @Test
+    void responseBelongsToItsQuery() throws Exception {
+        String body = "{\"instance\":\"entry-1\",\"ready\":true,\"configVersion\":7}";
+        String sound = "HTTP/1.1 200 x\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+        AtomicInteger connections = new AtomicInteger();
+        AtomicInteger joined = new AtomicInteger();
+        Vertx vertx = Vertx.vertx();
+        try {
+            int twice = listen(vertx, connections, sound + sound.replace("entry-1", "entry-2"));
+            int broken = listen(vertx, joined, "HTTP/1.1 200 O" + sound.replace("200", "500"));
+            String address = "127.0.0.1:" + twice;
+            assertThat(run("status", address, address, address)).isEqualTo(ExitStatus.OK);
+            assertThat(connections).hasValue(3);
+            assertThat(text(out)).contains("entry-1").doesNotContain("entry-2");
+            assertThat(run("status", "127.0.0.1:" + broken)).isEqualTo(ExitStatus.REFUSED);
+            assertThat(text(err)).contains("cannot query", "the head of the response");
+        } finally {
+            vertx.close();
+        }
+    }
+
+    /** Starts an entry that writes the same bytes for each request; returns its port. */
+    private static int listen(Vertx vertx, AtomicInteger connections, String bytes) throws Exception {
+        return vertx.createNetServer()
+                .connectHandler(socket -> {
+                    connections.incrementAndGet();
+                    socket.handler(request -> socket.write(bytes));
+                })
+                .listen(0, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(20, TimeUnit.SECONDS)
+                .actualPort();
+    }
+
     private static String burnReport(String instance, int met, int late) {
         String counts = "\"requests\":%d,\"met\":%d,\"late\":%d,\"stalled\":0,\"refused\":0,\"lost\":0"
                 .formatted(met + late, met, late);
