--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -38,9 +38,6 @@
     /** Shortest remaining time in which an attempt can be of use. */
     private static final Duration MIN_REMAINING = Duration.ofMillis(5);
 
-    /** A response that still sends chunks this long after the caller's deadline is treated as endless. */
-    private static final Duration MAX_CHUNK_LATENESS = Duration.ofSeconds(1);
-
     private static final Duration RETRY_AFTER = Duration.ofMillis(100);
 
     private final ForwardComponents components;
@@ -190,10 +187,10 @@
         if (head.isUnconfirmedRefusal() && request.route().retrySafety() != RetrySafety.IDEMPOTENT) {
             return Optional.of(withhold(attempt, inFlight));
         }
-        ResponseBodyReader reader = new ResponseBodyReader(attempt.response());
+        BodyRelay relay = new BodyRelay(components, request, caller, attempt);
         Buffer body = Buffer.buffer();
-        if (!buffer(attempt, reader, body)) {
-            return Optional.of(passThrough(attempt, inFlight, reader, body));
+        if (!buffer(relay, body)) {
+            return Optional.of(relay.passOn(body, inFlight));
         }
         long now = components.timer().nanos();
         state.recordOutcome(head.notRun() || head.isServerError(), now);
@@ -227,9 +224,9 @@
     }
 
     /** Reads a response to its end, or until it cannot be buffered any longer; returns whether it has ended. */
-    private boolean buffer(Attempt attempt, ResponseBodyReader reader, Buffer body) {
+    private boolean buffer(BodyRelay relay, Buffer body) {
         while (body.length() <= MAX_BUFFERED_BYTES) {
-            Optional<Buffer> chunk = nextChunk(attempt, reader);
+            Optional<Buffer> chunk = relay.next();
             if (chunk.isEmpty()) {
                 return true;
             }
@@ -242,54 +239,6 @@
         return false;
     }
 
-    /** Returns the next chunk of a response, or empty at its end. */
-    private Optional<Buffer> nextChunk(Attempt attempt, ResponseBodyReader reader) {
-        Duration remaining = request.remaining(components.timer().nanos());
-        ResponseBodyReader.Item item = reader.next(remaining);
-        // An endless body always has another chunk, so late chunks are not accepted. An end that is already queued is
-        // accepted even after the deadline.
-        if (item instanceof ResponseBodyReader.Piece chunk && remaining.compareTo(MAX_CHUNK_LATENESS.negated()) > 0) {
-            return Optional.of(chunk.bytes());
-        }
-        if (item instanceof ResponseBodyReader.End && !components.client().isPossiblyIncomplete(attempt.response())) {
-            return Optional.empty();
-        }
-        attempt.cancel();
-        components.crashDetector().onConnectionLost(attempt.targetState());
-        String peer = attempt.targetState().target().id().value();
-        throw new StepException(Step.SEND, peer, Outcome.UNKNOWN, "answer broke off: " + item);
-    }
-
-    /**
-     * Passes on a response that cannot be buffered. If it breaks off, the caller's connection is closed, so
-     * that the caller does not take what it has received for complete.
-     */
-    private String passThrough(Attempt attempt, InFlightRequest inFlight, ResponseBodyReader reader, Buffer buffered) {
-        caller.startResponse(attempt.response());
-        caller.write(buffered);
-        try {
-            Optional<Buffer> chunk = nextChunk(attempt, reader);
-            while (chunk.isPresent() && !caller.isGone()) {
-                caller.write(chunk.get());
-                chunk = nextChunk(attempt, reader);
-            }
-        } catch (StepException e) {
-            Attempt.logFailure(request, attempt.targetState(), e);
-            caller.abort();
-            return "failed: answer broke off";
-        }
-        if (caller.isGone()) {
-            attempt.cancel();
-            return "caller left";
-        }
-        attempt.targetState()
-                .recordOutcome(
-                        attempt.head().isServerError(), components.timer().nanos());
-        components.crashDetector().onServed(inFlight);
-        caller.end();
-        return attempt.head().isSuccess() ? "served" : "target failed";
-    }
-
     /** Ends a request that was not served. The response depends on whether a target may have run the request. */
     private String endUnserved(int status, String reason) {
         LogEvent.of("request.unserved")
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -172,6 +172,9 @@
             if (attempt.head().isUnconfirmedRefusal()) {
                 return Optional.of(withhold(attempt, inFlight));
             }
+            if (!attempt.head().isSuccess()) {
+                return Optional.of(passOnFailure(attempt, inFlight));
+            }
             continueWith(new StreamSegment(inFlight, attempt));
         } catch (StepException e) {
             Attempt.logFailure(request, state, e);
@@ -207,6 +210,15 @@
         return "target failed";
     }
 
+    /** Passes on the response of an engine that failed, which is no event stream. */
+    private String passOnFailure(Attempt attempt, InFlightRequest inFlight) {
+        try {
+            return new BodyRelay(components, request, caller, attempt).passOn(Buffer.buffer(), inFlight);
+        } finally {
+            inFlight.end();
+        }
+    }
+
     private void signalReader() {
         if (segment != null) {
             segment.reader().signal();
@@ -219,15 +231,13 @@
             End end = forwardSegment();
             switch (end) {
                 case COMPLETE -> {
-                    ResponseHead head = segment.attempt().head();
                     segment.targetState()
-                            .recordOutcome(
-                                    head.isServerError(), components.timer().nanos());
+                            .recordOutcome(false, components.timer().nanos());
                     components.crashDetector().onServed(segment.inFlight());
                     segment.close(true);
                     segment = null;
                     caller.end();
-                    return head.isSuccess() ? "served" : "target failed";
+                    return "served";
                 }
                 case CALLER_LEFT -> {
                     segment.close(false);
@@ -243,8 +253,7 @@
                     segment.targetState().onUnreachable(components.timer().nanos());
                     components.crashDetector().onConnectionLost(segment.targetState());
                     segment.close(false);
-                    Optional<StreamSegment> next =
-                            segment.attempt().head().isSuccess() ? continuation.recover(segment) : Optional.empty();
+                    Optional<StreamSegment> next = continuation.recover(segment);
                     if (next.isEmpty()) {
                         return fail("engine lost");
                     }
