--- a/core/src/main/java/org/verbenatally/policy/Dispatcher.java
+++ b/core/src/main/java/org/verbenatally/policy/Dispatcher.java
@@ -60,7 +60,12 @@
 
     private volatile Deployment deployment;
 
-    private record PendingRequest(WorkRequest request, CompletableFuture<InFlightRequest> future) {}
+    /**
+     * A request without a target.
+     *
+     * @param trial whether it shows if quarantined traits still crash targets, and is sent in spite of them
+     */
+    private record PendingRequest(WorkRequest request, boolean trial, CompletableFuture<InFlightRequest> future) {}
 
     /** A future that is completed after the lock has been released. */
     private record Completion(PendingRequest pending, DispatchedRequest dispatched, StepException failure) {
@@ -143,7 +148,8 @@
      */
     public CompletableFuture<InFlightRequest> acquire(WorkRequest request) {
         Objects.requireNonNull(request, "request");
-        PendingRequest pending = new PendingRequest(request, new CompletableFuture<>());
+        PendingRequest pending = new PendingRequest(
+                request, crashes.ledger().isQuarantined(request.traits()), new CompletableFuture<>());
         Completion completion;
         lock.lock();
         try {
@@ -164,7 +170,7 @@
             return refuse(pending, Step.ADMIT, "the request crashes targets", RETRY_AFTER);
         }
         if (!crashes.ledger().tryAdmit(request.traits())) {
-            return refuse(pending, Step.ADMIT, "requests with the same prefix crash targets", QUARANTINE_RETRY_AFTER);
+            return refuseQuarantined(pending);
         }
         if (!targets.hasEligibleTarget(request.kind())) {
             return refuse(pending, Step.ROUTE, "no target can run this kind now", RETRY_AFTER);
@@ -356,11 +362,19 @@
             completions.add(refuse(pending, Step.ADMIT, "the request crashes targets", RETRY_AFTER));
             return true;
         }
+        if (!pending.trial() && crashes.ledger().isQuarantined(request.traits())) {
+            completions.add(refuseQuarantined(pending));
+            return true;
+        }
         Optional<TargetState> choice = router.choose(request);
         choice.ifPresent(state -> completions.add(new Completion(pending, dispatch(request, state), null)));
         return choice.isPresent();
     }
 
+    private static Completion refuseQuarantined(PendingRequest pending) {
+        return refuse(pending, Step.ADMIT, "requests with the same prefix crash targets", QUARANTINE_RETRY_AFTER);
+    }
+
     private static Completion refuse(PendingRequest pending, Step step, String message, Duration retryAfter) {
         String kind = pending.request().kind().name().value();
         return new Completion(pending, null, new StepException(step, kind, Outcome.NOT_RUN, message, null, retryAfter));
--- a/core/src/test/java/org/verbenatally/policy/DispatcherTest.java
+++ b/core/src/test/java/org/verbenatally/policy/DispatcherTest.java
@@ -21,6 +21,7 @@
 import org.verbenatally.config.Organisation;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.StepException;
+import org.verbenatally.core.TargetId;
 import org.verbenatally.time.ManualTimer;
 
 import static org.assertj.core.api.Assertions.assertThat;
@@ -167,6 +168,66 @@
         assertThat(dispatcher.acquire(request(7, 200))).isCompletedWithValueMatching(r -> r != null);
     }
 
+    private static void crashOthers(ManualTimer timer, CrashReporter crashes, long prefixHash) {
+        for (int i = 0; i < 5; i++) {
+            timer.advance(Duration.ofSeconds(2));
+            crashes.recordCrash(
+                    new TargetId("other-" + i), 0, request(prefixHash, i).traits(), Duration.ZERO);
+        }
+    }
+
+    private Dispatcher dispatcher(CrashReporter crashes) {
+        targets = new TargetTable(timer);
+        Dispatcher dispatcher = new Dispatcher(timer, targets, new SuspectTable(timer), crashes, Fixtures.DOMAIN);
+        dispatcher.configure(Fixtures.deployment(1, 8, 10, GUIDE, LOOKUP));
+        return dispatcher;
+    }
+
+    /** Takes all room, and returns the requests that have it. */
+    private static List<InFlightRequest> fill(Dispatcher dispatcher) {
+        List<InFlightRequest> running = new ArrayList<>();
+        while (dispatcher.queuedRequests() == 0) {
+            dispatcher.acquire(request(7, 1_000 + running.size())).thenAccept(running::add);
+        }
+        return running;
+    }
+
+    /** Guards against a queued request that is sent although its prefix was found to crash targets since. */
+    @Test
+    void queuedRequestWithCrashingPrefixIsRefused() {
+        CrashReporter crashes = CrashReporter.withoutPeers(timer);
+        Dispatcher dispatcher = dispatcher(crashes);
+        List<InFlightRequest> running = fill(dispatcher);
+        CompletableFuture<InFlightRequest> crashing = dispatcher.acquire(request(5, 101));
+        CompletableFuture<InFlightRequest> sound = dispatcher.acquire(request(6, 102));
+        assertThat(crashing).isNotDone();
+        crashOthers(timer, crashes, 5);
+        List.copyOf(running).forEach(r -> r.end(AttemptEnd.DONE));
+        timer.advance(Duration.ofMillis(20));
+        assertThat(crashing).isCompletedExceptionally();
+        assertThat(((StepException) crashing.exceptionNow()).outcome()).isEqualTo(Outcome.NOT_RUN);
+        assertThat(sound).isCompletedWithValueMatching(r -> r != null);
+    }
+
+    /** Guards against a quarantine that never ends because the request that would show it is refused in the queue. */
+    @Test
+    void queuedRequestThatTriesPrefixAgainIsSent() {
+        CrashReporter crashes = CrashReporter.withoutPeers(timer);
+        Dispatcher dispatcher = dispatcher(crashes);
+        dispatcher.acquire(request(5, 100)).thenAccept(r -> r.end(AttemptEnd.DONE));
+        assertThat(crashes.ledger().isServed(request(5, 0).traits().iterator().next()))
+                .isTrue();
+        crashOthers(timer, crashes, 5);
+        assertThat(dispatcher.acquire(request(5, 101))).isCompletedExceptionally();
+        timer.advance(Duration.ofMinutes(5));
+        List<InFlightRequest> running = fill(dispatcher);
+        CompletableFuture<InFlightRequest> trial = dispatcher.acquire(request(5, 103));
+        assertThat(trial).isNotDone();
+        List.copyOf(running).forEach(r -> r.end(AttemptEnd.DONE));
+        timer.advance(Duration.ofMillis(20));
+        assertThat(trial).isCompletedWithValueMatching(r -> r != null);
+    }
+
     /** The operations that lincheck interleaves. */
     public static class Concurrent {
         private final DispatcherTest test = new DispatcherTest();
