--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -106,7 +106,7 @@
                 .with("backup", metadata.backup().map(Object::toString).orElse(""))
                 .with("continues", metadata.continuation().isPresent())
                 .with("connection", exchange.localAddress())
-                .with("exchange", exchange.number())
+                .with("reused", exchange.isReused())
                 .info(LOG);
         HttpClientResponse response = exchange.send(request.body(), timeout, onSent);
         ResponseHead head = components.codec().read(response);
@@ -147,7 +147,7 @@
                 .with("status", head.status())
                 .with("statedRequest", head.requestId().orElse(""))
                 .with("connection", exchange.localAddress())
-                .with("exchange", exchange.number())
+                .with("reused", exchange.isReused())
                 .with("reason", objection.orElse(""))
                 .warn(LOG);
     }
--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -1,5 +1,6 @@
 package org.verbenatally.forward;
 
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 
@@ -21,6 +22,12 @@
     /** Statuses that callers take as a statement that the request has not run, and never will. */
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
+    /** Takes a blank id for none. */
+    public ResponseHead {
+        requestId = requestId.filter(id -> !id.isBlank());
+        Objects.requireNonNull(departure, "departure");
+    }
+
     /** What a response says about the departure of the target that sent it. */
     public enum Departure {
         /** The head says nothing about it. */
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -4,6 +4,7 @@
 import java.util.Collections;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Optional;
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
@@ -27,6 +28,7 @@
 import org.verbenatally.core.ServiceName;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.ConnectionHistory;
 import org.verbenatally.time.TimedAwait;
 
 /**
@@ -54,11 +56,7 @@
     /** Connections that failed; held weakly, as they are of no use once their responses are gone. */
     private final Set<HttpConnection> failedConnections = weakSet();
 
-    /** Connections of exchanges that did not end in order; held weakly as well. */
-    private final Set<HttpConnection> cancelledConnections = weakSet();
-
-    /** Number of exchanges that have begun on each connection; held weakly as well. */
-    private final Map<HttpConnection, Integer> exchanges = Collections.synchronizedMap(new WeakHashMap<>());
+    private final ConnectionHistory connections = new ConnectionHistory();
 
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
     private final HttpClient unpooledClient;
@@ -114,14 +112,11 @@
     }
 
     private TargetExchange connect(HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
-        HttpClientRequest request = request(client, address, method, uri, limit);
-        while (cancelledConnections.contains(request.connection())) {
-            request.connection().close();
-            request.reset();
-            request = request(client, address, method, uri, limit);
+        Optional<ConnectionHistory.Exchange> exchange = Optional.empty();
+        while (exchange.isEmpty()) {
+            exchange = connections.begin(request(client, address, method, uri, limit));
         }
-        int number = exchanges.merge(request.connection(), 1, Integer::sum);
-        return new TargetExchange(request, number, cancelledConnections::add);
+        return new TargetExchange(exchange.get());
     }
 
     private HttpClientRequest request(
--- a/forward/src/main/java/org/verbenatally/forward/TargetExchange.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetExchange.java
@@ -10,11 +10,11 @@
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnection;
 import io.vertx.core.http.HttpMethod;
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.ConnectionHistory;
 import org.verbenatally.time.TimedAwait;
 
 /**
@@ -24,37 +24,25 @@
 final class TargetExchange {
     private static final Duration DISCARD_TIMEOUT = Duration.ofSeconds(1);
 
+    private final ConnectionHistory.Exchange exchange;
     private final HttpClientRequest request;
-    private final int number;
-    private final Consumer<HttpConnection> onCancelled;
 
-    /**
-     * Creates an exchange of which nothing has been sent.
-     *
-     * @param number how many exchanges have begun on the connection, this one included
-     * @param onCancelled receives the connection if the exchange does not end in order
-     */
-    TargetExchange(HttpClientRequest request, int number, Consumer<HttpConnection> onCancelled) {
-        this.request = Objects.requireNonNull(request, "request");
-        this.number = number;
-        this.onCancelled = Objects.requireNonNull(onCancelled, "onCancelled");
+    /** Wraps an exchange of which nothing has been sent. */
+    TargetExchange(ConnectionHistory.Exchange exchange) {
+        this.exchange = Objects.requireNonNull(exchange, "exchange");
+        this.request = exchange.request();
     }
 
     HttpClientRequest request() {
         return request;
     }
 
-    /** Returns how many exchanges have begun on the connection, this one included. */
-    int number() {
-        return number;
-    }
-
     /**
      * Returns whether another exchange has begun on the connection before. A faulty target may send a second copy of
      * its response where that of this exchange is due.
      */
     boolean isReused() {
-        return number > 1;
+        return exchange.isReused();
     }
 
     /** Returns the local address of the connection, which tells the connections to a target apart. */
@@ -105,7 +93,7 @@
 
     /** Gives the connection back; nothing has been sent. */
     void release() {
-        request.reset();
+        exchange.release();
     }
 
     /**
@@ -121,8 +109,6 @@
 
     /** Ends the exchange without reading the rest of its response; the connection serves no other. */
     void cancel() {
-        // The response may have arrived in full meanwhile, in which case the reset leaves the connection open.
-        onCancelled.accept(request.connection());
-        request.reset();
+        exchange.cancel();
     }
 }
--- a/forward/src/test/java/org/verbenatally/forward/TargetClientTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/TargetClientTest.java
@@ -77,7 +77,7 @@
             run(() -> {
                 // The end of a response is reported just before its connection is given back.
                 int exchanges = 1;
-                while (exchange(target).number() < 5 && exchanges < 1_000) {
+                while (!exchange(target).isReused() && exchanges < 1_000) {
                     exchanges++;
                 }
                 assertThat(exchanges).isLessThan(1_000);
