--- a/tools/src/main/java/org/verbenatally/rig/RigMain.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigMain.java
@@ -7,7 +7,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
 import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentLinkedQueue;
 
 import org.apache.commons.cli.CommandLine;
 import org.jboss.logging.Logger;
@@ -29,11 +31,13 @@
     private static final Duration FREEZE = Duration.ofMillis(1_500);
     private static final Duration LEAVING = Duration.ofMillis(2_500);
     private static final int MAX_QUIET_MS = 3_000;
+    private static final int CHECK_DELAY_MS = 200;
 
     private final RigOptions options;
     private final RunHistory history = new RunHistory();
     private final List<InstanceProcess> instances = new ArrayList<>();
     private final List<MisbehavingTarget> engines = new ArrayList<>();
+    private final Queue<Thread> checks = new ConcurrentLinkedQueue<>();
     private final StoreStandin store;
 
     private RigMain(RigOptions options) throws IOException {
@@ -108,7 +112,12 @@
         history.restartClock();
         List<Thread> threads = new ArrayList<>();
         for (int i = 0; i < options.callers(); i++) {
-            var caller = new RigCaller(i, options, history, instances, checker::check);
+            var caller = new RigCaller(
+                    i,
+                    options,
+                    history,
+                    instances,
+                    r -> checks.add(Thread.startVirtualThread(() -> check(checker, r))));
             threads.add(Thread.startVirtualThread(caller::run));
         }
         if (options.freezes()) {
@@ -125,6 +134,19 @@
         for (Thread thread : threads) {
             thread.join();
         }
+        for (Thread check : checks) {
+            check.join();
+        }
+    }
+
+    /** Checks a result once the targets have recorded what they were about to answer. */
+    private static void check(RigChecker checker, CallerResult result) {
+        try {
+            Thread.sleep(CHECK_DELAY_MS);
+            checker.check(result);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     /** One disturbance, by its number. */
--- a/tools/src/main/java/org/verbenatally/rig/TargetConnection.java
+++ b/tools/src/main/java/org/verbenatally/rig/TargetConnection.java
@@ -11,7 +11,7 @@
 
 /** The target's side of one connection, with a transcript of its last writes. Methods may be called by any thread. */
 final class TargetConnection {
-    private static final int MAX_ENTRIES = 12;
+    private static final int MAX_ENTRIES = 24;
     private static final int MAX_BYTES = 400;
 
     private final String name;
