--- a/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
@@ -37,4 +37,7 @@
 
     /** Returns the id of a copy from the response to such a request, or empty if there is none. */
     Optional<String> readCopyResponse(int status, Buffer body);
+
+    /** Returns whether the status of such a response states that the engine does not run the generation. */
+    boolean isNotRunning(int copyStatus);
 }
--- a/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
+++ b/forward/src/main/java/org/verbenatally/forward/InFlightRequest.java
@@ -94,6 +94,11 @@
         }
     }
 
+    /** Returns the number of tokens generated so far. */
+    long generated() {
+        return generated;
+    }
+
     /** Returns whether the target has been generating for some time. */
     boolean isBegun() {
         return begun;
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -39,6 +39,10 @@
     private String copyId;
     private boolean copying;
     private final Set<TargetId> refusedBy = new HashSet<>();
+    /** Segment of which the engine has stated that it does not run it. */
+    private StreamSegment notRunning;
+
+    private long generatedWhenNotRunning;
     private TargetState.CopyReservation reservation;
 
     StreamMigration(ForwardComponents components, ForwardedRequest request, Generation generation, Context context) {
@@ -79,14 +83,16 @@
 
     /**
      * Starts to copy the generation while it runs, unless a copy exists or is being made. The segment's reader is
-     * signalled when the copy has been made or has failed.
+     * signalled when the copy has been made or has failed. An engine that does not run the generation, perhaps not yet,
+     * is asked again once it has sent further events.
      */
     void start(StreamSegment segment) {
         boolean copySupported = request.service()
                 .engine()
                 .filter(ServiceSpec.EngineTraits::supportsCopies)
                 .isPresent();
-        if (!copying && copyId == null && copySupported) {
+        boolean mayBeRunning = notRunning != segment || segment.inFlight().generated() != generatedWhenNotRunning;
+        if (!copying && copyId == null && copySupported && mayBeRunning) {
             copying = true;
             context.runOnContext(v -> {
                 try {
@@ -112,6 +118,7 @@
         }
         TargetState holder = chosen.get();
         reservation = holder.reserveCopy(segment.inFlight());
+        notRunning = null;
         Optional<String> copied = Optional.empty();
         try {
             copied = requestCopy(segment, holder);
@@ -120,7 +127,9 @@
                 destination = holder;
                 copyId = copied.get();
             } else {
-                refusedBy.add(holder.target().id());
+                if (notRunning != segment) {
+                    refusedBy.add(holder.target().id());
+                }
                 endReservation();
             }
             segment.reader().signal();
@@ -146,6 +155,7 @@
                 .with("from", segment.targetState().target().id())
                 .with("target", holder.target().id());
         long start = components.timer().nanos();
+        long generated = segment.inFlight().generated();
         try {
             TargetExchange exchange = components
                     .client()
@@ -159,6 +169,10 @@
             checkTrust(exchange, response, segment.targetState());
             Optional<String> copied =
                     components.codec().readCopyResponse(response.statusCode(), readBody(exchange, response));
+            if (components.codec().isNotRunning(response.statusCode())) {
+                notRunning = segment;
+                generatedWhenNotRunning = generated;
+            }
             event.with("status", response.statusCode())
                     .with(
                             "ms",
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -54,6 +54,11 @@
         public Optional<String> readCopyResponse(int status, Buffer body) {
             return codec.readCopyResponse(status, body);
         }
+
+        @Override
+        public boolean isNotRunning(int copyStatus) {
+            return codec.isNotRunning(copyStatus);
+        }
     }
 
     private static RawTarget target(String moreHeaders) throws Exception {
--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -381,6 +381,44 @@
         }
     }
 
+    /** Guards against asking again and again for a copy of a generation that the engine says it does not run. */
+    @Test
+    void copyIsAskedForOnceUntilTheEngineGoesOn() throws Exception {
+        CompletableFuture<Void> started = new CompletableFuture<>();
+        CompletableFuture<Void> goesOn = new CompletableFuture<>();
+        java.util.concurrent.atomic.AtomicInteger copies = new java.util.concurrent.atomic.AtomicInteger();
+        RawTarget.Script restarted = (head, out, socket) -> {
+            if (head.startsWith("POST /copy")) {
+                copies.incrementAndGet();
+                String status = goesOn.isDone() ? "200 OK" : "404 Gone";
+                RawTarget.write(out, "HTTP/1.1 " + status + "\r\nContent-Length: 6\r\n\r\ncopy-1");
+                return true;
+            }
+            RawTarget.write(out, head(head, "Transfer-Encoding: chunked\r\n"));
+            chunk(out, events(1, 3));
+            started.complete(null);
+            goesOn.join();
+            chunk(out, events(4, 4));
+            Thread.sleep(100_000);
+            return false;
+        };
+        try (var engine = new RawTarget(restarted);
+                var copyHolder = copyHolder()) {
+            fixture.configure(1);
+            fixture.publish("leaving", ENGINES, engine);
+            CompletableFuture<HttpResponse<String>> response = generate("r1");
+            started.get(10, java.util.concurrent.TimeUnit.SECONDS);
+            fixture.publish("holder", ENGINES, copyHolder);
+            fixture.leave("leaving");
+            Thread.sleep(1_000);
+            assertThat(copies).hasValue(1);
+            goesOn.complete(null);
+            assertThat(response.get(10, java.util.concurrent.TimeUnit.SECONDS).body())
+                    .isEqualTo(events(1, 10));
+            assertThat(copies).hasValue(2);
+        }
+    }
+
     /** Guards against copies that wait for each other while some of them are of generations that are about to end. */
     @Test
     void generationAboutToEndIsNotCopied() throws Exception {
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -88,4 +88,9 @@
     public Optional<String> readCopyResponse(int status, Buffer body) {
         return status == 200 ? Optional.of(body.toString()) : Optional.empty();
     }
+
+    @Override
+    public boolean isNotRunning(int copyStatus) {
+        return copyStatus == 404;
+    }
 }
