--- a/tools/src/main/java/org/verbenatally/rig/InstanceProcess.java
+++ b/tools/src/main/java/org/verbenatally/rig/InstanceProcess.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 
 import io.vertx.core.json.JsonObject;
+import org.verbenatally.platform.standin.PlatformMessages;
 import org.verbenatally.platform.standin.PlatformMessages.InstancePorts;
 import org.verbenatally.platform.standin.RawMessage;
 
@@ -63,7 +64,7 @@
                 line.substring(COMMAND.length(), line.lastIndexOf('"')).split(" "));
         builder.directory(root.toFile());
         builder.environment().keySet().retainAll(List.of("PATH", "HOME", "JAVA_HOME", "LANG"));
-        builder.environment().put("VERBENATALLY_CONFIG", settings.toString());
+        PlatformMessages.setSettings(builder.environment(), settings);
         process = builder.redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
                 .start();
