Show that requests reach targets that have asked for a pause

Callers saw refusals of targets that they could not have reached at all: a target that turns a request away and asks for a pause of 55 s gets 14 to 17 of the next 60 requests, one of two targets of a service.

--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -30,6 +30,8 @@
     static final String NOT_RUN = "Test-Not-Run";
     static final String SIGNED = "Test-Signed";
     static final String COLD = "Test-Cold";
+    /** How long the target wants no requests, in milliseconds; any other value is malformed. */
+    static final String PAUSE = "Test-Pause";
     /** {@code yes} if the target is about to leave; any other value is malformed. */
     static final String LEAVING = "Test-Leaving";
 
