Let the watches of the instances end one after the other

If the connections fall silent, as open ones may for good, all instances wait for up to 30 s and nobody has a change to pass on. At 330 instances there are still 11 watches a second.

--- a/forward/src/main/java/org/verbenatally/forward/ReadRate.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReadRate.java
@@ -36,11 +36,11 @@
      * A watch that receives no change is renewed after this time, which limits the harm done by a connection without
      * data.
      */
-    private static final Duration MIN_WATCH = Duration.ofSeconds(4);
+    private static final Duration MIN_WATCH = Duration.ofSeconds(3);
     /** Longest watch that the source allows. */
     private static final Duration MAX_WATCH = Duration.ofSeconds(30);
 
-    private static final int FLEET_WATCHES_PER_SECOND = 2;
+    private static final int FLEET_WATCHES_PER_SECOND = 3;
 
     private final Duration staleAfter;
     private final DoubleSupplier random;
@@ -118,4 +118,10 @@
     public Duration watchDuration(int members) {
         return clamp(interval(members, FLEET_WATCHES_PER_SECOND), MIN_WATCH, MAX_WATCH);
     }
+
+    /** Returns a random part of {@link #watchDuration}, all parts being equally likely. */
+    Duration partialWatchDuration(int members) {
+        double part = 1 - random.getAsDouble();
+        return Duration.ofMillis((long) Math.ceil(watchDuration(members).toMillis() * part));
+    }
 }
--- a/forward/src/test/java/org/verbenatally/forward/WatchScheduleTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/WatchScheduleTest.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Random;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -27,7 +26,6 @@
      */
     @ParameterizedTest
     @ValueSource(ints = {1, 2, 8, 30, 88, 330})
-    @Tag("known-red")
     void someInstanceNoticesSilentWatches(int members) {
         Random random = new Random(SEED);
         for (int trial = 0; trial < TRIALS; trial++) {
