--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -37,14 +37,19 @@
 final class ForwardFixture implements AutoCloseable {
     static final ServiceName CALLS = new ServiceName("calls");
     static final ServiceName ENGINES = new ServiceName("engines");
+    static final String LOOPBACK = "127.0.0.1";
     /** Longer than any test. */
     private static final Duration IDLE_TIMEOUT = Duration.ofMinutes(2);
 
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     final Vertx vertx = Vertx.vertx();
+    private final SystemTimerService timer = new SystemTimerService();
     final ForwardServer server;
     final Address callers;
+    /** Address that its peers connect to. */
+    final Address peerAddress;
+
     private final HttpClient client = HttpClient.newHttpClient();
     private final List<ForwardTarget> targets = new ArrayList<>();
     private final AtomicReference<ForwardDeployment> deployment = new AtomicReference<>();
@@ -77,16 +82,42 @@
             BodyMemory responseMemory,
             Optional<Duration> evacuationBound)
             throws IOException {
+        this(timeout, idleTimeout, codec, responseMemory, evacuationBound, new Member("one", LOOPBACK, List.of()));
+    }
+
+    /**
+     * Identity of an instance in a fleet.
+     *
+     * @param name id of the instance
+     * @param host loopback address that it listens on
+     * @param seeds addresses of peers
+     */
+    record Member(String name, String host, List<Address> seeds) {}
+
+    /** Starts an instance that joins the fleet of the seeds. */
+    static ForwardFixture joining(Member member) throws IOException {
+        return new ForwardFixture(TIMEOUT, IDLE_TIMEOUT, new TestCodec(), new BodyMemory(), Optional.empty(), member);
+    }
+
+    private ForwardFixture(
+            Duration timeout,
+            Duration idleTimeout,
+            HttpMessageCodec codec,
+            BodyMemory responseMemory,
+            Optional<Duration> evacuationBound,
+            Member member)
+            throws IOException {
         this.timeout = timeout;
-        List<Address> addresses = unusedAddresses(3);
+        List<Address> addresses = unusedAddresses(member.host(), 3);
         callers = addresses.get(0);
+        peerAddress = addresses.get(2);
         server = new ForwardServer(
                 new ForwardOptions(
                         callers,
                         addresses.get(1),
                         "/ready",
                         Optional.empty(),
-                        peers(addresses.get(2)),
+                        peers(member, peerAddress),
                         idleTimeout,
                         Duration.ofSeconds(2),
                         Duration.ofSeconds(2),
@@ -95,7 +126,7 @@
                         Optional.of(new ColdMargin(1.5, 5)),
                         false),
                 vertx,
-                new SystemTimerService(),
+                timer,
                 codec,
                 responseMemory);
         server.start((source, body) -> deployment.get());
@@ -105,16 +136,16 @@
         return new RetryAllowance.Rule(0.2, Duration.ofSeconds(10), 50);
     }
 
-    private static PeerOptions peers(Address address) {
+    private static PeerOptions peers(Member member, Address address) {
         return new PeerOptions(
-                new InstanceId("one"),
+                new InstanceId(member.name()),
                 new FailureDomain("here"),
                 "region",
                 ForwardDeployment.NAME,
                 address.host(),
                 address.port(),
                 Optional.empty(),
-                List.of(),
+                member.seeds(),
                 Optional.empty(),
                 Optional.empty(),
                 7,
@@ -122,11 +153,11 @@
     }
 
     /** Returns different addresses on which nothing listens; Vert.x lets two listeners share one address. */
-    private static List<Address> unusedAddresses(int count) throws IOException {
+    private static List<Address> unusedAddresses(String host, int count) throws IOException {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
             while (sockets.size() < count) {
-                sockets.add(new ServerSocket(0, 1, InetAddress.getLoopbackAddress()));
+                sockets.add(new ServerSocket(0, 1, InetAddress.getByName(host)));
             }
             return sockets.stream()
                     .map(s -> new Address(s.getInetAddress().getHostAddress(), s.getLocalPort()))
@@ -271,6 +302,7 @@
 
     @Override
     public void close() {
+        timer.close();
         vertx.close();
     }
 }
