Let the full target of a test state which request it refuses

The test failed now and then: its full target states no id in its refusals and keeps the connection. The first refusal on a connection is believed without one; a later one may be a copy of it, so it is distrusted and the request ends with 502, as it should (ResponseTrust). Whether the full target was chosen a second time was left to chance. The full target now states the id, as targets do, and the test goes on until it has refused three requests, so the case that failed is met each time.

--- a/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardServerTest.java
@@ -5,6 +5,7 @@
 import java.net.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.stream.IntStream;
 
@@ -223,7 +224,10 @@
     @Test
     void refusedRequestIsSentToAnotherTarget() throws Exception {
         try (var full = new RawTarget((head, out, socket) -> {
-                    RawTarget.write(out, "HTTP/1.1 503 Full\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                    RawTarget.write(
+                            out,
+                            "HTTP/1.1 503 Full\r\nTest-Id: " + RawTarget.header(head, TestCodec.ID)
+                                    + "\r\nTest-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
                     return true;
                 });
                 var free = new RawTarget((head, out, socket) -> {
@@ -235,9 +239,12 @@
             assertThat(post("/once/x", "r1").headers().firstValue("Retry-After"))
                     .isPresent();
             fixture.publish("b", CALLS, free);
-            for (int i = 0; i < 5; i++) {
+            // Until the full target has refused a request on a connection that it has refused one on before.
+            long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+            for (int i = 0; full.requests().size() < 3 && System.nanoTime() < deadline; i++) {
                 assertThat(post("/once/x", "s" + i).statusCode()).isEqualTo(200);
             }
+            assertThat(full.requests()).hasSizeGreaterThanOrEqualTo(3);
         }
     }
 
