Serve callers through a peer while no target can be reached

Cause: an instance took its own view of the targets for their state, and knew no other way to serve. Change: ReachabilityMonitor finds out, by probes, whether an instance reaches no target of a service. Why it works: which instances are cut off need not be agreed on; each request finds its way by who accepts it.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -71,6 +71,9 @@
             String reason = caller.isGone() ? "caller has left" : "target began to leave";
             throw new StepException(Step.SEND, target.id().value(), Outcome.NOT_RUN, reason);
         }
+        if (!exchange.isReused()) {
+            state.onContact(components.timer().nanos());
+        }
         if (state.onConnected()) {
             components.gate().onReachableAgain(target);
         }
@@ -138,6 +141,7 @@
                 .with("reused", exchange.isReused())
                 .info(LOG);
         HttpClientResponse response = exchange.send(request.body(), timeout, onSent);
+        state.onContact(components.timer().nanos());
         ResponseHead head = components.codec().read(response);
         Optional<String> objection = ResponseTrust.objection(exchange, response, head, request.id());
         Attempt attempt = new Attempt(state, exchange, response, head, objection);
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -44,6 +44,7 @@
     private final ForwardComponents components;
     private final ForwardedRequest request;
     private final CallerExchange caller;
+    private final Relay relay;
     /** Memory of the responses that are kept. */
     private final BodyMemory.Reservation memory;
 
@@ -51,6 +52,9 @@
     private int rounds;
     private int sends;
     private int runs;
+    /** Whether a target could not be connected to since the last request to the relay. */
+    private boolean unreached;
+
     private Attempt failure;
     private Buffer failureBody;
     private long sentAt;
@@ -60,7 +64,8 @@
 
     private record Alternative(TargetState state, RetryAllowance.Permit permit) {}
 
-    CallRun(ForwardComponents components, ForwardedRequest request, CallerExchange caller) {
+    CallRun(ForwardComponents components, ForwardedRequest request, CallerExchange caller, Relay relay) {
+        this.relay = Objects.requireNonNull(relay, "relay");
         this.components = Objects.requireNonNull(components, "components");
         this.request = Objects.requireNonNull(request, "request");
         this.caller = Objects.requireNonNull(caller, "caller");
@@ -84,11 +89,23 @@
             if (remaining.compareTo(MIN_REMAINING) < 0) {
                 return endUnserved(CallerExchange.GATEWAY_TIMEOUT, "deadline");
             }
+            if (components.reachability().isCutOff(request.service().name())) {
+                Optional<String> relayed = tryRelay();
+                if (relayed.isPresent()) {
+                    return relayed.get();
+                }
+            }
             Optional<Alternative> chosen = Optional.ofNullable(alternative);
             alternative = null;
             Optional<TargetState> state = chosen.map(Alternative::state)
                     .or(() ->
                             components.chooser().chooseTarget(request.service().name(), tried));
+            if (state.isEmpty() && unreached) {
+                Optional<String> relayed = tryRelay();
+                if (relayed.isPresent()) {
+                    return relayed.get();
+                }
+            }
             if (state.isEmpty() && mayReturnSoon() && sends == 0 && ++rounds < MAX_ROUNDS) {
                 tried.clear();
                 TimedAwait.sleep(caller.owner(), ROUND_PAUSE);
@@ -112,6 +129,12 @@
         return "caller left";
     }
 
+    /** Has another instance serve the request if no target has been sent it; empty if none does. */
+    private Optional<String> tryRelay() {
+        unreached = false;
+        return sends == 0 ? relay.tryRelay(request, caller) : Optional.empty();
+    }
+
     /** Returns whether some target may accept a request within a few rounds. */
     private boolean mayReturnSoon() {
         return !components.directory().isEvacuated(request.service().name())
@@ -198,6 +221,7 @@
         }
         if (e.outcome() == Outcome.NOT_RUN) {
             sends--;
+            unreached |= e.step() == Step.CONNECT;
             return Optional.empty();
         }
         runs++;
--- a/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardComponents.java
@@ -20,6 +20,7 @@
  * @param codec translates heads
  * @param retryAllowance limits retries
  * @param crashDetector finds requests that crash their targets
+ * @param reachability finds out whether this instance has lost its paths to targets
  * @param probe checks whether targets accept connections
  * @param bodyMemory limits the memory of request bodies
  * @param responseMemory limits the memory of buffered responses
@@ -38,6 +39,7 @@
         HttpMessageCodec codec,
         RetryAllowance retryAllowance,
         CrashDetector crashDetector,
+        ReachabilityMonitor reachability,
         TargetProbe probe,
         BodyMemory bodyMemory,
         BodyMemory responseMemory,
--- a/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardHandler.java
@@ -39,6 +39,7 @@
     private final Shutdown shutdown;
     private final Context context;
     private final Duration maxBodyTime;
+    private final Relay relay;
 
     /**
      * Creates a handler.
@@ -46,13 +47,16 @@
      * @param deployment configuration in force, empty before there is one
      * @param context context of the verticle that accepts the requests
      * @param maxBodyTime longest time that a caller may take to send a body, whatever timeout it states
+     * @param relay has requests served by other instances whose targets this one does not reach
      */
     ForwardHandler(
             ForwardComponents components,
             Supplier<Optional<ForwardDeployment>> deployment,
             Shutdown shutdown,
             Context context,
-            Duration maxBodyTime) {
+            Duration maxBodyTime,
+            Relay relay) {
+        this.relay = Objects.requireNonNull(relay, "relay");
         this.components = Objects.requireNonNull(components, "components");
         this.deployment = Objects.requireNonNull(deployment, "deployment");
         this.shutdown = Objects.requireNonNull(shutdown, "shutdown");
@@ -155,9 +159,10 @@
                                 forwarded,
                                 forwarded.head().generation().orElse(Generation.UNKNOWN),
                                 caller,
+                                relay,
                                 context)
                         .run()
-                : new CallRun(components, forwarded, caller).run();
+                : new CallRun(components, forwarded, caller, relay).run();
         Duration elapsed = Duration.ofNanos(components.timer().nanos() - start);
         components.metrics().recordRequest(forwarded.route().retrySafety(), outcome, elapsed);
         LogEvent.of("request.ended")
--- a/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardOptions.java
@@ -23,6 +23,8 @@
  * @param evacuationBound time after which an evacuated failure domain must get no requests; empty if evacuations are
  *     not followed
  * @param coldMargin how far the limits of cold targets may be exceeded; empty if cold targets are not limited
+ * @param relayPort port at which the instances accept requests that others of them pass on, the same for all instances;
+ *     empty if they pass none on
  * @param equalSpeeds whether all targets count as equally fast, and speeds are not measured
  */
 public record ForwardOptions(
@@ -37,6 +39,7 @@
         RetryAllowance.Rule retryRule,
         Optional<Duration> evacuationBound,
         Optional<ColdMargin> coldMargin,
+        Optional<Integer> relayPort,
         boolean equalSpeeds) {
 
     /** Checks that no component is {@code null}. */
@@ -52,6 +55,7 @@
         Objects.requireNonNull(retryRule, "retryRule");
         Objects.requireNonNull(evacuationBound, "evacuationBound");
         Objects.requireNonNull(coldMargin, "coldMargin");
+        Objects.requireNonNull(relayPort, "relayPort");
     }
 
     /** Returns the same options, but with all targets counted as equally fast. */
@@ -68,6 +72,7 @@
                 retryRule,
                 evacuationBound,
                 coldMargin,
+                relayPort,
                 true);
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -20,6 +20,7 @@
 import org.jboss.logging.Logger;
 import org.verbenatally.config.ConfigHolder;
 import org.verbenatally.config.DocumentReader;
+import org.verbenatally.core.ConfigVersion;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.ServiceName;
 import org.verbenatally.forward.admission.MemoryReservations;
@@ -29,6 +30,7 @@
 import org.verbenatally.forward.cold.KnownMembers;
 import org.verbenatally.forward.evacuation.EvacuationTable;
 import org.verbenatally.forward.pause.RequestedPauses;
+import org.verbenatally.forward.relay.RelayPeers;
 import org.verbenatally.forward.speed.ServiceModel;
 import org.verbenatally.forward.speed.SpeedModels;
 import org.verbenatally.http.IdleConnections;
@@ -71,6 +73,7 @@
     private volatile int recentMembers = 1;
 
     private volatile TcpPeerNetwork<ForwardDeployment> peers;
+    private final RelayPeers relayPeers;
     private volatile HttpServer callerServer;
 
     /**
@@ -99,12 +102,19 @@
         this.evacuations = new Evacuations(timer, table, directory, this::publishEvacuations);
         this.shutdown = new Shutdown(timer, options.grace());
         this.connections = new IdleConnections(timer, options.idleTimeout());
+        this.relayPeers = new RelayPeers(
+                timer,
+                this::members,
+                options.peers().instance(),
+                options.peers().failureDomain());
         TargetProbe probe = new TargetProbe(vertx, timer, directory::isEvacuated);
         this.hasSeeds = !options.peers().seeds().isEmpty();
         this.knownMembers = new KnownMembers(timer, options.peers().instance(), () -> hasSeeds);
         ColdTargetLimiter coldTargets = coldTargetLimiter();
         RequestedPauses pauses = new RequestedPauses(timer);
         SendGate gate = new SendGate(coldTargets, pauses, metrics);
+        ReachabilityMonitor reachability =
+                new ReachabilityMonitor(timer, directory, probe::check, gate::onReachableAgain);
         SpeedModels speeds = new SpeedModels(!options.equalSpeeds(), this::registerModelGauges);
         SpeedMonitor speedMonitor = new SpeedMonitor(timer, directory);
         this.components = new ForwardComponents(
@@ -125,6 +135,7 @@
                         timer,
                         probe,
                         metrics),
+                reachability,
                 probe,
                 new BodyMemory(),
                 responseMemory,
@@ -179,6 +190,10 @@
         metrics.registerGauge("verbenatally.targets.slow", speedMonitor::slowTargets);
         metrics.registerGauge("verbenatally.targets.fast", speedMonitor::fastTargets);
         metrics.registerGauge("verbenatally.connections", connections::count);
+        metrics.registerGauge(
+                "verbenatally.services.unreachable",
+                () -> components.reachability().cutOffCount());
+        metrics.registerGauge("verbenatally.relay.sent", relayPeers::openCount);
     }
 
     private void registerModelGauges(ServiceName service, ServiceModel model) {
@@ -215,12 +230,16 @@
         }
     }
 
+    private List<MemberInfo> members() {
+        TcpPeerNetwork<ForwardDeployment> p = peers;
+        return p == null ? List.of() : p.members();
+    }
+
     /** Returns the number of live instances, this one included. */
     public int liveMembers() {
-        TcpPeerNetwork<ForwardDeployment> p = peers;
-        return p == null
+        return peers == null
                 ? 1
-                : (int) p.members().stream()
+                : (int) members().stream()
                         .filter(m -> m.status() == MemberInfo.Status.LIVE)
                         .count();
     }
@@ -246,6 +265,11 @@
                 reader,
                 new ForwardPeers(directory, components.crashDetector(), evacuations)));
         timer.every(MEMBERS_INTERVAL, tick -> updateKnownMembers());
+        if (options.relayPort().isPresent()) {
+            components.reachability().start();
+            await(vertx.deployVerticle(
+                    RelayVerticle::new, new DeploymentOptions().setThreadingModel(ThreadingModel.VIRTUAL_THREAD)));
+        }
         peers.addConfigListener(d -> LogEvent.of("config.inForce")
                 .with("version", d.version().value())
                 .with("routes", d.routeCount())
@@ -352,18 +376,9 @@
         @Override
         public Future<?> start() {
             Context ownContext = context;
-            ForwardHandler handler =
-                    new ForwardHandler(components, config::deployment, shutdown, ownContext, options.idleTimeout());
-            callerServer = vertx.createHttpServer(new HttpServerOptions()
-                            .setMaxHeaderSize(MAX_HEADER_BYTES)
-                            .setHandle100ContinueAutomatically(true)
-                            .setTcpNoDelay(true)
-                            // A server that waits for the first bytes to learn the protocol does not report silent
-                            // connections, which could then never be closed.
-                            .setHttp2ClearTextEnabled(false)
-                            // Leaves out the handlers that inspect each message for WebSocket extensions.
-                            .setPerFrameWebSocketCompressionSupported(false)
-                            .setPerMessageWebSocketCompressionSupported(false))
+            ForwardHandler handler = new ForwardHandler(
+                    components, config::deployment, shutdown, ownContext, options.idleTimeout(), relay());
+            callerServer = vertx.createHttpServer(callerServerOptions())
                     .connectionHandler(connections::onOpened)
                     .requestHandler(request -> {
                         request.pause();
@@ -381,6 +396,50 @@
         }
     }
 
+    private Relay relay() {
+        return options.relayPort()
+                .<Relay>map(port -> new PeerRelay(components, relayPeers, port, this::configVersion))
+                .orElse(Relay.NONE);
+    }
+
+    private ConfigVersion configVersion() {
+        return new ConfigVersion(version());
+    }
+
+    /** Accepts the requests that other instances pass on. */
+    private final class RelayVerticle extends VerticleBase {
+        @Override
+        public Future<?> start() {
+            RelayHandler handler = new RelayHandler(
+                    new ForwardHandler(
+                            components, config::deployment, shutdown, context, options.idleTimeout(), Relay.NONE),
+                    relayPeers::isMember,
+                    components.reachability()::isCutOff,
+                    ForwardServer.this::configVersion,
+                    shutdown);
+            metrics.registerGauge("verbenatally.relay.accepted", handler::openCount);
+            return vertx.createHttpServer(callerServerOptions())
+                    .requestHandler(request -> {
+                        request.pause();
+                        handler.handle(request);
+                    })
+                    .listen(options.relayPort().orElseThrow(), options.peers().host());
+        }
+    }
+
+    private static HttpServerOptions callerServerOptions() {
+        return new HttpServerOptions()
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setHandle100ContinueAutomatically(true)
+                .setTcpNoDelay(true)
+                // A server that waits for the first bytes to learn the protocol does not report silent connections,
+                // which could then never be closed.
+                .setHttp2ClearTextEnabled(false)
+                // Leaves out the handlers that inspect each message for WebSocket extensions.
+                .setPerFrameWebSocketCompressionSupported(false)
+                .setPerMessageWebSocketCompressionSupported(false);
+    }
+
     private final class ReadinessVerticle extends VerticleBase {
         @Override
         public Future<?> start() {
--- a/forward/src/main/java/org/verbenatally/forward/Headers.java
+++ b/forward/src/main/java/org/verbenatally/forward/Headers.java
@@ -21,7 +21,11 @@
             "transfer-encoding",
             "upgrade",
             "expect",
-            "content-length");
+            "content-length",
+            // Between instances only; callers and targets have no say in them.
+            "relay-config-version",
+            "relay-service",
+            "relay-declined");
 
     private Headers() {}
 
--- a/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
@@ -1,5 +1,6 @@
 package org.verbenatally.forward;
 
+import java.time.Duration;
 import java.util.Optional;
 
 import io.vertx.core.MultiMap;
@@ -24,6 +25,9 @@
     /** Replaces, in a caller's headers, those that only an instance may set. */
     void write(ForwardingMetadata metadata, MultiMap headers);
 
+    /** Replaces, in the headers of a request that another instance is to serve, how long its caller waits. */
+    void writeTimeout(Duration remaining, MultiMap headers);
+
     /** Reads the head of a target's response. */
     ResponseHead read(HttpClientResponse response);
 
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -12,6 +12,7 @@
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 
@@ -31,6 +32,7 @@
     private final ForwardedRequest request;
     private final Generation generation;
     private final CallerExchange caller;
+    private final Relay relay;
     private final Context context;
     private final EngineAdmission admission;
     private final StreamMigration migration;
@@ -41,6 +43,9 @@
     private final EventSplitter events;
     private AdmissionRank rank = AdmissionRank.NORMAL;
     private int sends;
+    /** Whether an engine could not be connected to since the last request to the relay. */
+    private boolean unreached;
+
     private long sentNanos;
     private long chunksForwarded;
     private long firstChunkNanos;
@@ -66,7 +71,9 @@
             ForwardedRequest request,
             Generation generation,
             CallerExchange caller,
+            Relay relay,
             Context context) {
+        this.relay = Objects.requireNonNull(relay, "relay");
         this.components = Objects.requireNonNull(components, "components");
         this.request = Objects.requireNonNull(request, "request");
         this.generation = Objects.requireNonNull(generation, "generation");
@@ -115,12 +122,18 @@
             if (request.remaining(components.timer().nanos()).compareTo(MIN_REMAINING) < 0) {
                 return refuse("deadline");
             }
+            if (components.reachability().isCutOff(request.service().name())) {
+                Optional<String> relayed = tryRelay();
+                if (relayed.isPresent()) {
+                    return relayed.get();
+                }
+            }
             EngineAdmission.Decision decision = admission.await(request, generation, caller, tried);
             if (caller.isGone()) {
                 return "caller left";
             }
             if (decision instanceof EngineAdmission.Refused refused) {
-                return refuse(refused.reason());
+                return (unreached ? tryRelay() : Optional.<String>empty()).orElseGet(() -> refuse(refused.reason()));
             }
             var admitted = (EngineAdmission.Admitted) decision;
             Optional<RetryAllowance.Permit> permit =
@@ -137,6 +150,12 @@
         return "caller left";
     }
 
+    /** Has another instance run the generation if no engine has been sent it; empty if none does. */
+    private Optional<String> tryRelay() {
+        unreached = false;
+        return sends == 0 ? relay.tryRelay(request, caller) : Optional.empty();
+    }
+
     private String refuse(String reason) {
         LogEvent.of("request.unserved")
                 .request(request.id())
@@ -213,6 +232,7 @@
             if (e.outcome() == Outcome.NOT_RUN) {
                 permit.cancel();
                 sends--;
+                unreached |= e.step() == Step.CONNECT;
                 return Optional.empty();
             }
             if (caller.isGone()) {
@@ -419,6 +439,7 @@
                 inFlight.setBegun();
                 components.crashDetector().onServed(inFlight);
             }
+            segment.targetState().onContact(now);
             timing.onEvents(events.count() - eventsBefore, now);
             caller.write(complete);
             timing.onWritten(now, components.timer().nanos());
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -50,6 +50,8 @@
     private static final int MIN_CONNECTIONS = 8;
     /** Largest number of unpooled connections to one target at a time. */
     private static final int MAX_UNPOOLED_CONNECTIONS = 16;
+    /** Largest number of connections to one peer at a time. */
+    private static final int MAX_PEER_CONNECTIONS = 256;
 
     private final Vertx vertx;
     private final IntSupplier members;
@@ -60,11 +62,13 @@
 
     private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
     private final HttpClient unpooledClient;
+    private final HttpClient peerClient;
 
     TargetClient(Vertx vertx, IntSupplier members) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.members = Objects.requireNonNull(members, "members");
         this.unpooledClient = createClient(false, MAX_UNPOOLED_CONNECTIONS);
+        this.peerClient = createClient(false, MAX_PEER_CONNECTIONS);
     }
 
     private static Set<HttpConnection> weakSet() {
@@ -111,6 +115,15 @@
         return connect(unpooledClient, address, method, uri, limit);
     }
 
+    /**
+     * Obtains a new connection to another instance, which is closed after the exchange.
+     *
+     * @throws StepException with outcome {@code NOT_RUN} if there is no connection in time
+     */
+    TargetExchange connectToPeer(Address address, HttpMethod method, String uri, Duration limit) {
+        return connect(peerClient, address, method, uri, limit);
+    }
+
     private TargetExchange connect(HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
         Optional<ConnectionHistory.Exchange> exchange = Optional.empty();
         while (exchange.isEmpty()) {
--- a/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetDirectory.java
@@ -478,6 +478,11 @@
         return candidates.getOrDefault(service, List.of());
     }
 
+    /** Returns the services that have targets that may get new work. */
+    Set<ServiceName> services() {
+        return candidates.keySet();
+    }
+
     /** Returns how many targets of a service started to leave within the given time. */
     synchronized int leavingCount(ServiceName service, Duration within) {
         long since = timer.nanos() - within.toNanos();
--- a/forward/src/main/java/org/verbenatally/forward/TargetState.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetState.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -41,6 +42,15 @@
     /** Whether the target could not be reached, and no connection to it has been made since. */
     private boolean unreachable;
 
+    /** Whether and when the target was last seen to accept a connection or to send data. */
+    private volatile boolean reached;
+
+    private volatile long reachedAt;
+    /** Whether and when it could last not be reached. */
+    private volatile boolean failed;
+
+    private volatile long failedAt;
+
     private Duration suspension = FIRST_SUSPENSION;
     private final RecentOutcomes outcomes = new RecentOutcomes();
     private final TargetSpeed speed = new TargetSpeed();
@@ -226,6 +236,8 @@
     synchronized void onUnreachable(long now) {
         suspended = true;
         unreachable = true;
+        failedAt = now;
+        failed = true;
         suspendedUntil = now + suspension.toNanos();
         suspension = suspension.multipliedBy(2);
         if (suspension.compareTo(MAX_SUSPENSION) > 0) {
@@ -233,6 +245,32 @@
         }
     }
 
+    /** Records that the target has accepted a new connection or has sent data. */
+    void onContact(long now) {
+        reachedAt = now;
+        reached = true;
+    }
+
+    /** Returns when any of some targets was last seen to accept a connection or to send data; empty if none was. */
+    static OptionalLong latestContact(List<TargetState> targets) {
+        return targets.stream()
+                .filter(target -> target.reached)
+                .mapToLong(target -> target.reachedAt)
+                // Differences, as monotonic times may overflow.
+                .reduce((a, b) -> a - b > 0 ? a : b);
+    }
+
+    /** Returns whether the target could not be reached at some time after the given one, or ever if that is empty. */
+    boolean hasFailedSince(OptionalLong time) {
+        return failed && (time.isEmpty() || failedAt - time.getAsLong() > 0);
+    }
+
+    /** Lets the target be chosen again before its suspension has ended. */
+    synchronized void endSuspension() {
+        suspended = false;
+        suspension = FIRST_SUSPENSION;
+    }
+
     /** Records that a connection was made; returns whether it is the first since the target could not be reached. */
     synchronized boolean onConnected() {
         boolean returned = unreachable;
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -54,6 +54,7 @@
     private final List<ForwardTarget> targets = new ArrayList<>();
     private final AtomicReference<ForwardDeployment> deployment = new AtomicReference<>();
     private final Duration timeout;
+    private final String routeHost;
     private Optional<ServiceSpec.ColdLimit> coldLimit = Optional.empty();
 
     ForwardFixture() throws IOException {
@@ -82,7 +83,13 @@
             BodyMemory responseMemory,
             Optional<Duration> evacuationBound)
             throws IOException {
-        this(timeout, idleTimeout, codec, responseMemory, evacuationBound, new Member("one", LOOPBACK, List.of()));
+        this(
+                timeout,
+                idleTimeout,
+                codec,
+                responseMemory,
+                evacuationBound,
+                new Member("one", LOOPBACK, LOOPBACK, List.of(), Optional.empty()));
     }
 
     /**
@@ -90,9 +97,18 @@
      *
      * @param name id of the instance
      * @param host loopback address that it listens on
+     * @param routeHost host of the requests that its routes are for
      * @param seeds addresses of peers
+     * @param relayPort port at which it accepts requests of its peers; empty if they pass none on
      */
-    record Member(String name, String host, List<Address> seeds) {}
+    record Member(String name, String host, String routeHost, List<Address> seeds, Optional<Integer> relayPort) {}
+
+    /** Returns a port that is probably unused at all loopback addresses. */
+    static int unusedPort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
 
     /** Starts an instance that joins the fleet of the seeds. */
     static ForwardFixture joining(Member member) throws IOException {
@@ -108,6 +124,7 @@
             Member member)
             throws IOException {
         this.timeout = timeout;
+        this.routeHost = member.routeHost();
         List<Address> addresses = unusedAddresses(member.host(), 3);
         callers = addresses.get(0);
         peerAddress = addresses.get(2);
@@ -124,6 +141,7 @@
                         rule(),
                         evacuationBound,
                         Optional.of(new ColdMargin(1.5, 5)),
+                        member.relayPort(),
                         false),
                 vertx,
                 timer,
@@ -216,7 +234,7 @@
     private Route route(String name, RetrySafety retrySafety, ServiceName service, int attempts) {
         return new Route(
                 new RouteName(name),
-                callers.host(),
+                routeHost,
                 "/" + name + "/",
                 retrySafety,
                 timeout,
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -40,6 +40,11 @@
             codec.write(metadata, headers);
         }
 
+        @Override
+        public void writeTimeout(Duration remaining, MultiMap headers) {
+            codec.writeTimeout(remaining, headers);
+        }
+
         @Override
         public ResponseHead read(HttpClientResponse response) {
             failAt("response");
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -67,6 +67,11 @@
         });
     }
 
+    @Override
+    public void writeTimeout(Duration remaining, MultiMap headers) {
+        headers.set(CALLER_TIMEOUT, Long.toString(remaining.toMillis()));
+    }
+
     @Override
     public ResponseHead read(HttpClientResponse response) {
         return new ResponseHead(
