Believe no response whose status HTTP does not define

The users saw a status of 000 passed on to callers elsewhere. Here it is not, but statuses above 599 were, for calls and generations: only the lower end of the range was checked. Change: ResponseTrust checks both ends, for every response of a target; callers get 502. Before / after: UndefinedStatusTest, 7 of 18 cases failed (600, 999 and 2000), now none; 000, 001, 099, a negative status and one that is no number were never passed on.

--- a/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseHead.java
@@ -31,6 +31,7 @@
     private static final int FIRST_NOT_SUCCESS = 300;
     private static final int MISDIRECTED = 421;
     private static final int SERVER_ERROR = 500;
+    private static final int LAST_DEFINED = 599;
     /** Statuses that callers take as a statement that the request has not run, and never will. */
     private static final Set<Integer> REFUSAL_STATUSES = Set.of(408, 421, 429, 503);
 
@@ -57,6 +58,11 @@
         return status < SUCCESS;
     }
 
+    /** Returns whether the status is above those that HTTP defines (RFC 9110, section 15). */
+    boolean isUndefined() {
+        return status > LAST_DEFINED;
+    }
+
     /** Returns whether the request was served. */
     boolean isSuccess() {
         return status >= SUCCESS && status < FIRST_NOT_SUCCESS;
--- a/forward/src/main/java/org/verbenatally/forward/ResponseTrust.java
+++ b/forward/src/main/java/org/verbenatally/forward/ResponseTrust.java
@@ -48,6 +48,7 @@
     private static Optional<String> commonObjection(HttpClientResponse response, ResponseHead head, String requestId) {
         return when(ResponseHeads.isJoined(response), "head joined from two responses")
                 .or(() -> when(head.isInterim(), "interim response"))
+                .or(() -> when(head.isUndefined(), "status is not defined"))
                 .or(() -> when(
                         head.requestId().filter(id -> !id.equals(requestId)).isPresent(),
                         "response belongs to another request"));
