Forget that a service was unreachable once it has no targets

Found by reading the change: a service whose targets had all left while it counted as unreachable kept doing so, and idle services were probed more often because of it. ReachabilityMonitorTest.serviceWithoutTargetsIsNotCutOff; another test of the class took for granted which target is probed first.

--- a/forward/src/main/java/org/verbenatally/forward/PeerRelay.java
+++ b/forward/src/main/java/org/verbenatally/forward/PeerRelay.java
@@ -35,6 +35,8 @@
     /** Time after the deadline in which the peer may still end the response by itself. */
     private static final Duration END_MARGIN = Duration.ofSeconds(1);
 
+    private static final int FIRST_NOT_SUCCESS = 300;
+
     private final ForwardComponents components;
     private final RelayPeers peers;
     private final int port;
@@ -147,7 +149,7 @@
                 caller.write(chunk.bytes());
             } else if (item instanceof ResponseBodyReader.End) {
                 caller.end();
-                return response.statusCode() < 300 ? "served by peer" : "not served by peer";
+                return response.statusCode() < FIRST_NOT_SUCCESS ? "served by peer" : "not served by peer";
             } else if (!caller.isGone()) {
                 LogEvent.of("relay.broken")
                         .request(request.id())
--- a/forward/src/main/java/org/verbenatally/forward/ReachabilityMonitor.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReachabilityMonitor.java
@@ -25,6 +25,7 @@
 final class ReachabilityMonitor {
     private static final Logger LOG = Logger.getLogger(ReachabilityMonitor.class);
 
+    /** Half of the time after which a probe without a response fails, so that two rounds may be under way. */
     static final Duration CHECK_INTERVAL = Duration.ofMillis(250);
     /** A service of which no target was reached for so long is probed, as requests may be waiting in vain. */
     private static final Duration IDLE_CONTACT_AGE = Duration.ofSeconds(1);
@@ -32,7 +33,10 @@
     private static final Duration CONTACT_AGE = Duration.ofMillis(500);
     /** Number of targets of an idle service that are probed at a time. */
     private static final int IDLE_PROBES = 2;
-    /** Number of targets that cannot be reached in a row from which all count as such. */
+    /**
+     * Number of targets that cannot be reached, with none reached in between, from which all count as such. Targets are
+     * drawn at random, so that this many are hardly ever down while others are not.
+     */
     private static final int ENOUGH_FAILURES = 6;
     /** Smallest number of targets that are probed at a time. */
     private static final int MIN_PROBES = 3;
@@ -90,8 +94,10 @@
 
     /** Probes what has to be probed now. */
     void check() {
+        Set<ServiceName> services = directory.services();
+        cutOff.retainAll(services);
         boolean elsewhere = !cutOff.isEmpty();
-        for (ServiceName service : directory.services()) {
+        for (ServiceName service : services) {
             List<TargetState> targets = directory.candidates(service);
             boolean isCutOff = isCutOff(service);
             report(service, isCutOff);
--- a/forward/src/test/java/org/verbenatally/forward/ReachabilityMonitorTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ReachabilityMonitorTest.java
@@ -112,6 +112,7 @@
     @Test
     void allTargetsAreUsedWhenPathsComeBack() {
         failAll();
+        states().forEach(state -> state.onUnreachable(timer.nanos()));
         advance(20);
         assertThat(monitor.isCutOff(SERVICE)).isTrue();
         down.clear();
@@ -123,6 +124,20 @@
         assertThat(monitor.cutOffCount()).isZero();
     }
 
+    /** Guards against a service that counts as cut off for good because it has no targets any more. */
+    @Test
+    void serviceWithoutTargetsIsNotCutOff() {
+        failAll();
+        advance(8);
+        assertThat(monitor.cutOffCount()).isEqualTo(1);
+        directory.applyPublished(Targets.list(IntStream.range(0, TARGETS)
+                .mapToObj(i -> Targets.leaving("t" + i))
+                .toList()));
+        advance(1);
+        assertThat(monitor.isCutOff(SERVICE)).isFalse();
+        assertThat(monitor.cutOffCount()).isZero();
+    }
+
     /** Guards against a rush of probes while no target can be reached. */
     @Test
     void probesAreFewWhileCutOff() {
