Close the permit of a send in one place

SendGate releases the exchange that it permits no request in, and a permit is closed by the block that uses it; a call asks for a peer in one place. No change of what is sent.

--- a/forward/src/main/java/org/verbenatally/forward/Attempt.java
+++ b/forward/src/main/java/org/verbenatally/forward/Attempt.java
@@ -77,13 +77,32 @@
         if (state.onConnected()) {
             components.gate().onReachableAgain(target);
         }
-        SendGate.Permit permit;
-        try {
-            permit = components.gate().acquire(target);
-        } catch (StepException e) {
-            exchange.release();
-            throw e;
+        try (SendGate.Permit permit = components.gate().acquire(target, exchange)) {
+            return sendPermitted(components, request, caller, state, exchange, permit, metadata, timeout, onSent);
+        }
+    }
+
+    private static void checkEvacuation(ForwardComponents components, ForwardTarget target) {
+        if (components.directory().isEvacuated(target)) {
+            components.metrics().countDecision("evacuated");
+            throw new StepException(
+                    Step.SEND,
+                    target.id().value(),
+                    Outcome.NOT_RUN,
+                    "failure domain " + target.failureDomain() + " is evacuated");
         }
+    }
+
+    private static Attempt sendPermitted(
+            ForwardComponents components,
+            ForwardedRequest request,
+            CallerExchange caller,
+            TargetState state,
+            TargetExchange exchange,
+            SendGate.Permit permit,
+            ForwardingMetadata metadata,
+            ResponseTimeout timeout,
+            Consumer<Runnable> onSent) {
         try {
             Attempt attempt = send(components, request, caller, state, exchange, metadata, timeout, onSent);
             if (!attempt.isUntrusted()) {
@@ -100,19 +119,6 @@
         } catch (RuntimeException | Error e) {
             exchange.cancel();
             throw e;
-        } finally {
-            permit.onNoResponse();
-        }
-    }
-
-    private static void checkEvacuation(ForwardComponents components, ForwardTarget target) {
-        if (components.directory().isEvacuated(target)) {
-            components.metrics().countDecision("evacuated");
-            throw new StepException(
-                    Step.SEND,
-                    target.id().value(),
-                    Outcome.NOT_RUN,
-                    "failure domain " + target.failureDomain() + " is evacuated");
         }
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/CallRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/CallRun.java
@@ -89,22 +89,14 @@
             if (remaining.compareTo(MIN_REMAINING) < 0) {
                 return endUnserved(CallerExchange.GATEWAY_TIMEOUT, "deadline");
             }
-            if (components.reachability().isCutOff(request.service().name())) {
-                Optional<String> relayed = tryRelay();
-                if (relayed.isPresent()) {
-                    return relayed.get();
-                }
-            }
             Optional<Alternative> chosen = Optional.ofNullable(alternative);
             alternative = null;
             Optional<TargetState> state = chosen.map(Alternative::state)
                     .or(() ->
                             components.chooser().chooseTarget(request.service().name(), tried));
-            if (state.isEmpty() && unreached) {
-                Optional<String> relayed = tryRelay();
-                if (relayed.isPresent()) {
-                    return relayed.get();
-                }
+            Optional<String> relayed = tryRelay(state.isPresent());
+            if (relayed.isPresent()) {
+                return relayed.get();
             }
             if (state.isEmpty() && mayReturnSoon() && sends == 0 && ++rounds < MAX_ROUNDS) {
                 tried.clear();
@@ -129,10 +121,21 @@
         return "caller left";
     }
 
-    /** Has another instance serve the request if no target has been sent it; empty if none does. */
-    private Optional<String> tryRelay() {
+    /**
+     * Has another instance serve a request that this one could not connect to any target for, or that it has not tried
+     * to and knows that it could not.
+     *
+     * @param hasTarget whether there is a target that was not tried
+     * @return the outcome, or empty if no other instance is needed or serves the request
+     */
+    private Optional<String> tryRelay(boolean hasTarget) {
+        boolean needed =
+                hasTarget ? components.reachability().isCutOff(request.service().name()) : unreached;
+        if (!needed || sends > 0) {
+            return Optional.empty();
+        }
         unreached = false;
-        return sends == 0 ? relay.tryRelay(request, caller) : Optional.empty();
+        return relay.tryRelay(request, caller);
     }
 
     /** Returns whether some target may accept a request within a few rounds. */
--- a/forward/src/main/java/org/verbenatally/forward/SendGate.java
+++ b/forward/src/main/java/org/verbenatally/forward/SendGate.java
@@ -33,8 +33,8 @@
         this.metrics = Objects.requireNonNull(metrics, "metrics");
     }
 
-    /** Permission to send one request to one target. */
-    final class Permit {
+    /** Permission to send one request to one target, to be closed when its response or its failure is known. */
+    final class Permit implements AutoCloseable {
         private final ForwardTarget target;
         private final ColdAllowance.Permit coldPermit;
         private final RequestedPauses.Permit pausePermit;
@@ -56,11 +56,10 @@
                 pauses.onAccepted(target);
             }
             coldTargets.targets().onResponse(target.id(), head.cold());
-            pausePermit.end();
         }
 
-        /** Records that there is no response that belongs to the request. */
-        void onNoResponse() {
+        @Override
+        public void close() {
             pausePermit.end();
         }
     }
@@ -73,9 +72,19 @@
     /**
      * Takes the permission to send one request, as the last step before the send.
      *
+     * @param exchange the exchange that the request is to be sent in, released if there is no permission
      * @throws StepException with outcome {@code NOT_RUN} if the request must not be sent now
      */
-    Permit acquire(ForwardTarget target) {
+    Permit acquire(ForwardTarget target, TargetExchange exchange) {
+        try {
+            return acquire(target);
+        } catch (StepException e) {
+            exchange.release();
+            throw e;
+        }
+    }
+
+    private Permit acquire(ForwardTarget target) {
         RequestedPauses.Permit pausePermit =
                 pauses.tryAcquire(target).orElseThrow(() -> notSent(target, "target has asked for a pause"));
         Optional<ColdAllowance.Permit> coldPermit = coldTargets.tryAcquire(target);
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -173,7 +173,6 @@
         long start = components.timer().nanos();
         long generated = segment.inFlight().generated();
         TargetExchange exchange = null;
-        SendGate.Permit permit = null;
         try {
             exchange = components
                     .client()
@@ -183,10 +182,7 @@
                             copyRequest.uri(),
                             COPY_TIMEOUT);
             checkEvacuation(exchange, segment.targetState(), holder);
-            permit = acquire(exchange, segment.targetState());
-            HttpClientResponse response =
-                    exchange.send(copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), cancel -> {});
-            checkTrust(exchange, response, segment.targetState(), permit);
+            HttpClientResponse response = sendOrder(exchange, copyRequest, segment.targetState());
             Optional<String> copied =
                     components.codec().readCopyResponse(response.statusCode(), readBody(exchange, response));
             if (components.codec().isNotRunning(response.statusCode())) {
@@ -207,19 +203,15 @@
                 exchange.cancel();
             }
             throw e;
-        } finally {
-            if (permit != null) {
-                permit.onNoResponse();
-            }
         }
     }
 
-    private SendGate.Permit acquire(TargetExchange exchange, TargetState source) {
-        try {
-            return components.gate().acquire(source.target());
-        } catch (StepException e) {
-            exchange.release();
-            throw e;
+    private HttpClientResponse sendOrder(TargetExchange exchange, CopyRequest copyRequest, TargetState source) {
+        try (SendGate.Permit permit = components.gate().acquire(source.target(), exchange)) {
+            HttpClientResponse response =
+                    exchange.send(copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), cancel -> {});
+            checkTrust(exchange, response, source, permit);
+            return response;
         }
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -122,11 +122,11 @@
             if (request.remaining(components.timer().nanos()).compareTo(MIN_REMAINING) < 0) {
                 return refuse("deadline");
             }
-            if (components.reachability().isCutOff(request.service().name())) {
-                Optional<String> relayed = tryRelay();
-                if (relayed.isPresent()) {
-                    return relayed.get();
-                }
+            boolean cutOff =
+                    components.reachability().isCutOff(request.service().name());
+            Optional<String> relayed = cutOff ? tryRelay() : Optional.empty();
+            if (relayed.isPresent()) {
+                return relayed.get();
             }
             EngineAdmission.Decision decision = admission.await(request, generation, caller, tried);
             if (caller.isGone()) {
