Take no response for that of a peer that does not state the request

Settings with a single internal port made that port both the one of the metrics and the one of relayed requests, and two listeners of one process may share a port. Cause: a relay believed whatever answered at the port of a peer. Change: a peer echoes the id of the request (Relay-Id); any other response ends the request with 502.

--- a/forward/src/main/java/org/verbenatally/forward/Headers.java
+++ b/forward/src/main/java/org/verbenatally/forward/Headers.java
@@ -25,6 +25,7 @@
             // Between instances only; callers and targets have no say in them.
             "relay-config-version",
             "relay-service",
+            "relay-id",
             "relay-declined");
 
     private Headers() {}
--- a/forward/src/main/java/org/verbenatally/forward/PeerRelay.java
+++ b/forward/src/main/java/org/verbenatally/forward/PeerRelay.java
@@ -11,6 +11,7 @@
 import org.verbenatally.core.ConfigVersion;
 import org.verbenatally.core.LogEvent;
 import org.verbenatally.core.Outcome;
+import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.forward.relay.RelayPeers;
 import org.verbenatally.peer.MemberInfo;
@@ -24,6 +25,8 @@
     static final String VERSION_HEADER = "Relay-Config-Version";
     /** Service that the sender does not reach. */
     static final String SERVICE_HEADER = "Relay-Service";
+    /** Id of the request, which the response of a peer states as well; whatever else listens there does not. */
+    static final String ID_HEADER = "Relay-Id";
     /** Why a peer has declined a request; in no other response. */
     static final String DECLINED_HEADER = "Relay-Declined";
 
@@ -94,10 +97,20 @@
             components.codec().writeTimeout(remaining, headers);
             headers.set(VERSION_HEADER, Long.toString(own.value()));
             headers.set(SERVICE_HEADER, request.service().name().value());
+            headers.set(ID_HEADER, request.id());
             response = exchange.send(request.body(), ResponseTimeout.of(remaining.plus(END_MARGIN)), caller::onGone);
         } catch (StepException e) {
             return onFailure(request, caller, peer, e);
         }
+        if (!request.id().equals(response.getHeader(ID_HEADER))) {
+            exchange.cancel();
+            return onFailure(
+                    request,
+                    caller,
+                    peer,
+                    new StepException(
+                            Step.FORWARD, peer.instance().value(), Outcome.UNKNOWN, "response is not that of a peer"));
+        }
         String declined = response.getHeader(DECLINED_HEADER);
         if (declined != null) {
             exchange.cancel();
--- a/forward/src/main/java/org/verbenatally/forward/RelayHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/RelayHandler.java
@@ -59,6 +59,10 @@
             request.connection().close();
             return;
         }
+        String id = request.getHeader(PeerRelay.ID_HEADER);
+        if (id != null) {
+            request.response().putHeader(PeerRelay.ID_HEADER, id);
+        }
         Optional<String> reason = reasonToDecline(request);
         if (reason.isPresent()) {
             decline(request, reason.get());
--- a/forward/src/test/java/org/verbenatally/forward/PartitionedInstanceTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/PartitionedInstanceTest.java
@@ -46,6 +46,7 @@
     private RawTarget target;
     private volatile RawTarget.Script script;
     private int relayPort;
+    private long nextRevision = 1_000_000;
 
     /** How connections to an address fail. */
     enum Failure {
@@ -95,9 +96,24 @@
 
     /** Publishes the same targets to both instances, at addresses that fail for the partitioned one. */
     private void publish(Failure failure) throws IOException {
-        SourceRevision revision = new SourceRevision(Targets.EPOCH, 1_000_000);
-        connected.server.directory().applyPublished(Targets.list(revision, targets(target.address(), null)));
-        partitioned.server.directory().applyPublished(Targets.list(revision, targets(null, failure)));
+        publish(failure, partitioned);
+    }
+
+    private void publish(Failure failure, ForwardFixture partitionedInstance) throws IOException {
+        List<ForwardTarget> sound = targets(target.address(), null);
+        List<ForwardTarget> failing = targets(null, failure);
+        // Each instance keeps what it reads itself unless the record of the other one arrives first.
+        do {
+            SourceRevision revision = new SourceRevision(Targets.EPOCH, nextRevision++);
+            connected.server.directory().applyPublished(Targets.list(revision, sound));
+            partitionedInstance.server.directory().applyPublished(Targets.list(revision, failing));
+        } while (!knows(connected, sound) || !knows(partitionedInstance, failing));
+    }
+
+    private static boolean knows(ForwardFixture fixture, List<ForwardTarget> targets) {
+        return fixture.server.directory().candidates(CALLS).stream()
+                .map(TargetState::target)
+                .allMatch(targets::contains);
     }
 
     private List<ForwardTarget> targets(Address address, Failure failure) throws IOException {
@@ -210,6 +226,32 @@
                 .hasSize(1);
     }
 
+    /** Guards against taking the response of whatever else listens at the port of a peer for that to the request. */
+    @Test
+    void responseOfAnotherServiceIsNotPassedOn() throws Exception {
+        RawTarget other = add(new RawTarget((head, out, socket) -> {
+            RawTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+            return true;
+        }));
+        ForwardFixture alone = add(ForwardFixture.joining(new ForwardFixture.Member(
+                "alone",
+                "127.0.0.3",
+                "127.0.0.3",
+                List.of(connected.peerAddress),
+                Optional.of(other.address().port()))));
+        alone.configure(1);
+        await(() -> alone.server.liveMembers() == 3);
+        publish(Failure.REFUSED, alone);
+        long deadline = System.nanoTime() + BOUND.toNanos();
+        for (int i = 0; other.requests().isEmpty() && System.nanoTime() < deadline; i++) {
+            HttpResponse<String> response =
+                    alone.send(alone.request("/once/x", "r" + i).build());
+            assertThat(response.statusCode()).isIn(502, 503);
+            assertThat(response.body()).isEmpty();
+        }
+        assertThat(other.requests()).isNotEmpty();
+    }
+
     /** Guards against a request that goes round between instances none of which reaches a target. */
     @Test
     void requestIsPassedOnOnceOnly() throws Exception {
@@ -233,8 +275,8 @@
         try (Socket socket = new Socket(ForwardFixture.LOOPBACK, relayPort)) {
             RawTarget.write(
                     socket.getOutputStream(),
-                    "GET /once/x HTTP/1.1\r\nHost: 127.0.0.2\r\nTest-Id: a\r\nRelay-Config-Version: 2\r\n"
-                            + "Relay-Service: calls\r\nConnection: close\r\n\r\n");
+                    "GET /once/x HTTP/1.1\r\nHost: 127.0.0.2\r\nTest-Id: a\r\nRelay-Id: a\r\n"
+                            + "Relay-Config-Version: 2\r\nRelay-Service: calls\r\nConnection: close\r\n\r\n");
             String response = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
             assertThat(response).startsWith("HTTP/1.1 503 ").containsIgnoringCase("Relay-Declined: configuration");
         }
