--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -378,7 +378,7 @@
             Context ownContext = context;
             ForwardHandler handler = new ForwardHandler(
                     components, config::deployment, shutdown, ownContext, options.idleTimeout(), relay());
-            callerServer = vertx.createHttpServer(callerServerOptions())
+            callerServer = vertx.createHttpServer(serverOptions())
                     .connectionHandler(connections::onOpened)
                     .requestHandler(request -> {
                         request.pause();
@@ -418,7 +418,7 @@
                     ForwardServer.this::configVersion,
                     shutdown);
             metrics.registerGauge("verbenatally.relay.accepted", handler::openCount);
-            return vertx.createHttpServer(callerServerOptions())
+            return vertx.createHttpServer(serverOptions())
                     .requestHandler(request -> {
                         request.pause();
                         handler.handle(request);
@@ -427,7 +427,7 @@
         }
     }
 
-    private static HttpServerOptions callerServerOptions() {
+    private static HttpServerOptions serverOptions() {
         return new HttpServerOptions()
                 .setMaxHeaderSize(MAX_HEADER_BYTES)
                 .setHandle100ContinueAutomatically(true)
