Draw pauses that targets ask for in bin/rig, and check that they are kept

Nothing that draws its cases would have found again that requests reach a target in the pause that it has asked for.

--- a/tools/src/main/java/org/verbenatally/rig/Answer.java
+++ b/tools/src/main/java/org/verbenatally/rig/Answer.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -22,6 +23,7 @@
  * @param framing how the end of the body is found
  * @param headers lines of the head after the status line, in order
  * @param body the body, without its framing
+ * @param pause how long the target wants no further requests; zero if it does not say so
  */
 record Answer(
         String requestId,
@@ -31,10 +33,13 @@
         boolean statesId,
         Framing framing,
         List<String> headers,
-        byte[] body) {
+        byte[] body,
+        Duration pause) {
     private static final int MAX_PADDING = 2_000;
     private static final int CHUNK_BYTES = 200;
     private static final int MAX_EVENTS = 12;
+    private static final int UNAVAILABLE = 503;
+    private static final double MILLIS_PER_SECOND = 1_000;
 
     /** How the end of a body is found. */
     enum Framing {
@@ -48,6 +53,14 @@
         headers = List.copyOf(headers);
     }
 
+    /** Returns the refusal of a target that wants no further requests for a while. */
+    static Answer pausing(String id, String stamp, Duration pause) {
+        List<String> headers = new ArrayList<>(PlatformMessages.responseHeaders(Optional.of(id), stamp, true));
+        headers.add("Retry-After: " + pause.toMillis() / MILLIS_PER_SECOND);
+        headers.add("Content-Length: 0");
+        return new Answer(id, stamp, UNAVAILABLE, true, true, Framing.LENGTH, headers, new byte[0], pause);
+    }
+
     /** Draws an answer to a request. */
     static Answer draw(
             Kind kind,
@@ -90,7 +103,7 @@
         if (random.nextInt(4) == 0) {
             shuffle(headers, random);
         }
-        return new Answer(id, stamp, status, notRun, statesId, framing, headers, body);
+        return new Answer(id, stamp, status, notRun, statesId, framing, headers, body, Duration.ZERO);
     }
 
     private static void shuffle(List<String> list, SplittableRandom random) {
@@ -116,7 +129,7 @@
     }
 
     Answer withStatus(int other) {
-        return new Answer(requestId, stamp, other, notRun, statesId, framing, headers, body);
+        return new Answer(requestId, stamp, other, notRun, statesId, framing, headers, body, pause);
     }
 
     boolean isSuccess() {
--- a/tools/src/main/java/org/verbenatally/rig/MisbehavingTarget.java
+++ b/tools/src/main/java/org/verbenatally/rig/MisbehavingTarget.java
@@ -7,6 +7,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
@@ -34,6 +35,7 @@
     private static final int MAX_WORK_MS = 20;
     private static final int LATE_MS = 300;
     private static final int CLOSE_DELAY_MS = 3;
+    private static final Duration PAUSE = Duration.ofSeconds(2);
 
     private static final List<String> JUNK =
             List.of("\r\n", "\0\1\2\3", "HTTP/1.1 ", "200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n", "junk\r\n", "X: 1\r\n");
@@ -123,7 +125,9 @@
         SplittableRandom random = options.random(request + id);
         boolean noLength = options.draws(Misbehaviour.NO_LENGTH, random);
         String stamp = "stamp-" + id + "-" + stamps.incrementAndGet();
-        Answer answer = Answer.draw(kind, request, stamp, continuesAfter.orElse(0), noLength, options, random);
+        Answer answer = options.draws(Misbehaviour.PAUSE, options.random(request + id + "pause"))
+                ? Answer.pausing(request, stamp, PAUSE)
+                : Answer.draw(kind, request, stamp, continuesAfter.orElse(0), noLength, options, random);
         boolean breaksOff = options.draws(Misbehaviour.BREAK_OFF, random);
         boolean late = options.draws(Misbehaviour.LATE, random);
         Thread.sleep(late ? kind.timeout().toMillis() + random.nextInt(LATE_MS) : random.nextInt(1, MAX_WORK_MS));
--- a/tools/src/main/java/org/verbenatally/rig/Misbehaviour.java
+++ b/tools/src/main/java/org/verbenatally/rig/Misbehaviour.java
@@ -23,7 +23,9 @@
     /** Closes the connection after a complete answer, without saying so before. */
     CLOSE(0.03),
     /** Answers after the request's time. */
-    LATE(0.01);
+    LATE(0.01),
+    /** Refuses the request and states how long it wants no others. */
+    PAUSE(0);
 
     private final double share;
 
--- a/tools/src/main/java/org/verbenatally/rig/RigChecker.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigChecker.java
@@ -22,6 +22,7 @@
     private final Consumer<JsonObject> record;
     private final Map<String, Integer> counts = new TreeMap<>();
     private final Map<Integer, Integer> statuses = new TreeMap<>();
+    private final PauseChecker pauses = new PauseChecker();
     private int breaches;
 
     /** A rule that was broken, and how. */
@@ -36,6 +37,7 @@
     synchronized void check(CallerResult result) {
         statuses.merge(result.status(), 1, Integer::sum);
         List<TargetRun> runs = history.of(result.id());
+        runs.forEach(run -> pauses.add(result.instance(), run));
         mixed(result, runs).ifPresent(breach -> add(breach, result, runs));
         refused(result, runs).ifPresent(breach -> add(breach, result, runs));
         lost(result, runs).ifPresent(breach -> add(breach, result, runs));
@@ -166,6 +168,15 @@
         return breaches;
     }
 
+    /** Checks what only all results together show; instances that were suspended or stopped are excused. */
+    synchronized void checkPauses() {
+        long broken = pauses.breaches();
+        if (broken > 0) {
+            breaches += (int) broken;
+            counts.merge("BUDGET: requests to a target in the pause that it asked for", (int) broken, Integer::sum);
+        }
+    }
+
     /** Returns one line for each status that callers got, and one for each sort of breach. */
     synchronized String summary() {
         StringBuilder text = new StringBuilder("statuses of callers (0: closed): " + statuses + "\n");
--- a/tools/src/main/java/org/verbenatally/rig/RigMain.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigMain.java
@@ -82,6 +82,9 @@
             startInstances(folder);
             var checker = new RigChecker(history, breach -> record.println(breach.encode()));
             sendRequests(checker);
+            if (!options.freezes() && !options.restarts()) {
+                checker.checkPauses();
+            }
             System.out.println(history.size() + " runs at targets; " + checker.summary());
             return history.size() == 0 ? Program.USAGE : checker.breaches() == 0 ? Program.OK : Program.FAILED;
         } finally {
--- a/tools/src/test/java/org/verbenatally/rig/RigCheckerTest.java
+++ b/tools/src/test/java/org/verbenatally/rig/RigCheckerTest.java
@@ -1,6 +1,7 @@
 package org.verbenatally.rig;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +26,7 @@
     private static Answer answer(String id, String stamp, int status, boolean notRun) {
         List<String> headers = PlatformMessages.responseHeaders(Optional.of(id), stamp, notRun);
         byte[] body = (id + stamp).getBytes(StandardCharsets.US_ASCII);
-        return new Answer(id, stamp, status, notRun, true, Answer.Framing.LENGTH, headers, body);
+        return new Answer(id, stamp, status, notRun, true, Answer.Framing.LENGTH, headers, body, Duration.ZERO);
     }
 
     private Answer run(String id, String stamp, int status, boolean notRun) {
