--- a/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
+++ b/forward/src/main/java/org/verbenatally/forward/ForwardServer.java
@@ -114,7 +114,7 @@
         RequestedPauses pauses = new RequestedPauses(timer);
         SendGate gate = new SendGate(coldTargets, pauses, metrics);
         ReachabilityMonitor reachability =
-                new ReachabilityMonitor(timer, directory, probe::check, gate::onReachableAgain);
+                new ReachabilityMonitor(timer, directory, probe::check, gate::wantsRequests, gate::onReachableAgain);
         SpeedModels speeds = new SpeedModels(!options.equalSpeeds(), this::registerModelGauges);
         SpeedMonitor speedMonitor = new SpeedMonitor(timer, directory);
         this.components = new ForwardComponents(
--- a/forward/src/main/java/org/verbenatally/forward/ReachabilityMonitor.java
+++ b/forward/src/main/java/org/verbenatally/forward/ReachabilityMonitor.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Predicate;
 
 import io.vertx.core.Future;
 import org.jboss.logging.Logger;
@@ -46,6 +47,7 @@
     private final TimerService timer;
     private final TargetDirectory directory;
     private final Function<ForwardTarget, Future<Void>> probe;
+    private final Predicate<ForwardTarget> mayProbe;
     private final Consumer<ForwardTarget> onReachableAgain;
     private final Set<ServiceName> cutOff = ConcurrentHashMap.newKeySet();
     /** Targets whose probe has not ended. */
@@ -55,16 +57,19 @@
      * Creates a monitor that does not probe yet.
      *
      * @param probe returns a future that succeeds if a target accepts a connection, and fails otherwise
+     * @param mayProbe returns whether a target may be contacted now; others are left out
      * @param onReachableAgain called with a target that could not be reached and has accepted the connection of a probe
      */
     ReachabilityMonitor(
             TimerService timer,
             TargetDirectory directory,
             Function<ForwardTarget, Future<Void>> probe,
+            Predicate<ForwardTarget> mayProbe,
             Consumer<ForwardTarget> onReachableAgain) {
         this.timer = Objects.requireNonNull(timer, "timer");
         this.directory = Objects.requireNonNull(directory, "directory");
         this.probe = Objects.requireNonNull(probe, "probe");
+        this.mayProbe = Objects.requireNonNull(mayProbe, "mayProbe");
         this.onReachableAgain = Objects.requireNonNull(onReachableAgain, "onReachableAgain");
     }
 
@@ -134,7 +139,7 @@
     /** Probes some targets, drawn at random. */
     private void probe(ServiceName service, List<TargetState> targets, int count) {
         List<TargetState> drawn = new ArrayList<>(targets);
-        drawn.removeIf(target -> probing.contains(target.target().run()));
+        drawn.removeIf(target -> probing.contains(target.target().run()) || !mayProbe.test(target.target()));
         Collections.shuffle(drawn);
         drawn.stream().limit(count).forEach(target -> probe(service, target));
     }
--- a/forward/src/main/java/org/verbenatally/forward/SendGate.java
+++ b/forward/src/main/java/org/verbenatally/forward/SendGate.java
@@ -104,6 +104,11 @@
         coldTargets.targets().onReachableAgain(target.id());
     }
 
+    /** Returns whether a target has not asked for a pause that goes on. */
+    boolean wantsRequests(ForwardTarget target) {
+        return pauses.remaining(target).isZero();
+    }
+
     /** Returns the time until the first of some targets wants requests; zero if one does, or if there are none. */
     Duration pauseLeft(List<TargetState> targets) {
         return targets.stream()
--- a/forward/src/test/java/org/verbenatally/forward/ReachabilityMonitorTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ReachabilityMonitorTest.java
@@ -21,10 +21,15 @@
     private final ManualTimer timer = new ManualTimer();
     private final TargetDirectory directory = new TargetDirectory(timer, read -> {}, () -> {});
     private final Set<TargetId> down = new HashSet<>();
+    private final Set<TargetId> paused = new HashSet<>();
     private final List<TargetId> probed = new ArrayList<>();
     private final List<TargetId> returned = new ArrayList<>();
-    private final ReachabilityMonitor monitor =
-            new ReachabilityMonitor(timer, directory, this::probe, target -> returned.add(target.id()));
+    private final ReachabilityMonitor monitor = new ReachabilityMonitor(
+            timer,
+            directory,
+            this::probe,
+            target -> !paused.contains(target.id()),
+            target -> returned.add(target.id()));
 
     private Future<Void> probe(ForwardTarget target) {
         probed.add(target.id());
@@ -138,6 +143,16 @@
         assertThat(monitor.cutOffCount()).isZero();
     }
 
+    /** Guards against probes of a target that has asked for a pause. */
+    @Test
+    void pausedTargetIsNotProbed() {
+        TargetState pausing = states().getLast();
+        paused.add(pausing.target().id());
+        failAll();
+        advance(200);
+        assertThat(probed).isNotEmpty().doesNotContain(pausing.target().id());
+    }
+
     /** Guards against a rush of probes while no target can be reached. */
     @Test
     void probesAreFewWhileCutOff() {
