Log at the peer which requests it serves for another instance

The lines of a relayed request at the peer did not say that it came from an instance: relay.accepted does, under the same id.

--- a/forward/src/main/java/org/verbenatally/forward/RelayHandler.java
+++ b/forward/src/main/java/org/verbenatally/forward/RelayHandler.java
@@ -68,6 +68,10 @@
             decline(request, reason.get());
             return;
         }
+        LogEvent.of("relay.accepted")
+                .request(String.valueOf(id))
+                .with("peer", host)
+                .info(LOG);
         open.incrementAndGet();
         try {
             handler.handle(request);
