--- a/review/lab2/Client.java
+++ b/review/lab2/Client.java
@@ -1,5 +1,6 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.io.PushbackInputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
@@ -36,8 +37,24 @@
 
     static final List<Answer> ANSWERS = new CopyOnWriteArrayList<>();
 
+    /** Largest number of bytes that one client sends in a millisecond; 0: no limit. */
+    static volatile int bytesPerMs;
+
     private Client() {}
 
+    private static void write(OutputStream out, String body) throws IOException {
+        byte[] bytes = body.getBytes(StandardCharsets.ISO_8859_1);
+        long start = System.nanoTime();
+        int step = bytesPerMs == 0 ? bytes.length : 8 * bytesPerMs;
+        for (int sent = 0; sent < bytes.length; sent += step) {
+            out.write(bytes, sent, Math.min(step, bytes.length - sent));
+            if (bytesPerMs > 0) {
+                Server.pause((sent + step) / bytesPerMs - (System.nanoTime() - start) / 1_000_000);
+            }
+        }
+        out.flush();
+    }
+
     static Answer stream(
             String instance, int port, String host, String path, int promptTokens, int events, String parts, long deadlineMs) {
         String fields = "Model: m\r\nToken-Count: " + promptTokens + "," + events * 8 + "\r\nPrompt-Prefix: " + parts
@@ -70,7 +87,8 @@
             socket.setSoTimeout((int) deadlineMs + 1_000);
             Http.write(socket.getOutputStream(), method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: "
                     + a.request + "\r\n" + fields + "Deadline-Ms: " + deadlineMs
-                    + "\r\nAuthorization: Token key-1\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                    + "\r\nAuthorization: Token key-1\r\nContent-Length: " + body.length() + "\r\n\r\n");
+            write(socket.getOutputStream(), body);
             PushbackInputStream in = new PushbackInputStream(socket.getInputStream());
             Http.Head head = Http.head(in);
             if (head == null) {
