--- a/review/lab2/Client.java
+++ b/review/lab2/Client.java
@@ -84,7 +84,11 @@
         try (Socket socket = new Socket()) {
             socket.setTcpNoDelay(true);
             socket.connect(new InetSocketAddress(instance, port), 1_000);
-            socket.setSoTimeout((int) deadlineMs + 1_000);
+            // A client waits no longer than it has said.
+            Thread.ofVirtual().start(() -> {
+                Server.pause(a.sent + deadlineMs - Record.now());
+                Http.closeQuietly(socket);
+            });
             Http.write(socket.getOutputStream(), method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\nAttempt-Id: "
                     + a.request + "\r\n" + fields + "Deadline-Ms: " + deadlineMs
                     + "\r\nAuthorization: Token key-1\r\nContent-Length: " + body.length() + "\r\n\r\n");
--- a/review/lab2/Instances.java
+++ b/review/lab2/Instances.java
@@ -14,6 +14,10 @@
 /** Instances of the system, started as the deploy file says, each on a loopback address of its own. */
 final class Instances {
     static final String ZONE = "bole";
+    private static final String[] ZONES = {ZONE, "kality", "merkato"};
+
+    /** Whether each instance is in a zone of its own. */
+    boolean spread;
     final List<String> hosts = new ArrayList<>();
     final int port;
     private final Path folder;
@@ -60,13 +64,15 @@
     /** Runs the command of deploy/system.toml in the repository's root. */
     void start(int i) throws IOException {
         String host = hosts.get(i);
+        String zone = spread ? ZONES[i] : ZONE;
         String seeds = hosts.stream()
                 .limit(3)
                 .map(h -> "\"" + h + ":" + (port + 2) + "\"")
                 .collect(Collectors.joining(","));
         String settings = """
                 {"NodeName":"front-%s-%d","Role":"entry","MachineClass":"front","Serves":["front","control"],
-                 "Ip":"%s","Zone":"%s","Region":"addis","Zones":{"%s":"addis"},
+                 "Ip":"%s","Zone":"%s","Region":"addis",
+                 "Zones":{"bole":"addis","kality":"addis","merkato":"addis"},
                  "Listen":{"Front":"%s:%d","Ready":"%s:%d","Control":"%s:%d"},
                  "InternalPortRange":[%d,%d],"Seeds":[%s],"Bootstrap":true,"FaultCounted":false,
                  "Limits":{"CpuShare":0.75,"Cores":1,"MemoryMb":280,"MaxFds":4100,"LinkMbps":1000.0,"DiskMb":0},
@@ -80,7 +86,7 @@
                  "Provider":{"Address":"%s","form":"read","WritesPerS":400,"ReadsPerS":2000,"HistoryS":20,
                   "ValueBytes":1048576,"TtlMinMs":1000}}
                 """.formatted(
-                        ZONE, i + 1, host, ZONE, ZONE, host, port, host, port + 1, host, port + 2,
+                        zone, i + 1, host, zone, host, port, host, port + 1, host, port + 2,
                         port + 3, port + 9, seeds, store);
         Path file = folder.resolve("settings-" + (i + 1) + ".json");
         Files.writeString(file, settings);
@@ -118,7 +124,7 @@
         Record.log("all instances are ready");
     }
 
-    private boolean ready(String host) {
+    boolean ready(String host) {
         try (Socket socket = new Socket()) {
             socket.connect(new InetSocketAddress(host, port + 1), 500);
             socket.setSoTimeout(500);
@@ -130,6 +136,15 @@
         }
     }
 
+    /** Sends a signal to an instance: STOP or CONT. */
+    void signal(int i, String name) throws Exception {
+        int status = new ProcessBuilder("bash", "-c", "kill -" + name + " " + process(i).pid()).start().waitFor();
+        if (status != 0) {
+            throw new CannotRun("signal " + name + " failed");
+        }
+        Record.say("instance %d: SIG%s", i + 1, name);
+    }
+
     void kill() {
         processes.forEach(Process::destroyForcibly);
     }
