--- a/review/lab2/Server.java
+++ b/review/lab2/Server.java
@@ -5,12 +5,15 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -79,6 +82,14 @@
     /** Part of a prompt that crashes it when it begins to write an answer. */
     volatile String poison = "";
 
+    /** Requests beyond its slots that wait for one. */
+    volatile int queue;
+    /** If not 0, it falls over once it has to turn away more than this many requests in a second. */
+    volatile int brittle;
+
+    private final Deque<Long> rejected = new ArrayDeque<>();
+    private final Semaphore places;
+
     volatile long downMs = 4_000;
     volatile int eventMs = 30;
 
@@ -88,6 +99,7 @@
         this.host = host;
         this.port = port;
         this.slots = slots;
+        this.places = new Semaphore(slots);
     }
 
     String address() {
@@ -191,7 +203,8 @@
                 return;
             }
             CRASHES.add(Record.now());
-            Record.log("CRASH of server %s by request %s, which lost %d other runs", id, request, runs.size() - 1);
+            Record.log("CRASH of server %s by request %s, which lost %d other runs", id, request,
+                    runs.size() - (runs.containsKey(request) ? 1 : 0));
             stop();
         }
         Thread.ofVirtual().start(() -> {
@@ -243,7 +256,8 @@
             return true;
         }
         String request = head.get("Attempt-Id");
-        String common = "Attempt-Id: " + request + "\r\n" + (draining ? "Server-Leaving: 1\r\nConnection: close\r\n" : "");
+        String common = "Attempt-Id: " + request + "\r\n" + (draining ? "Server-Leaving: 1\r\nConnection: close\r\n" : "")
+                + (brittle > 0 ? "Server-Brittle: " + brittle + "\r\n" : "");
         if (!id.equals(head.get("Expect-Instance"))) {
             Http.respond(out, "421 Misdirected Request", common + "Instance-Id: " + id + "\r\n", "");
             return true;
@@ -260,8 +274,13 @@
                 return true;
             }
         }
-        if (runs.size() >= slots && from == null) {
+        if (runs.size() >= slots + queue && from == null) {
+            Record.log("rejected server=%s request=%s", id, request);
             Http.respond(out, "503 Service Unavailable", common + "Not-Executed: 1\r\n", "");
+            if (brittle > 0 && rejectedInASecond() > brittle) {
+                crash(request);
+                throw new IOException("fell over");
+            }
             return true;
         }
         Run run = new Run(request, id);
@@ -287,6 +306,15 @@
         return true;
     }
 
+    private synchronized int rejectedInASecond() {
+        long now = Record.now();
+        rejected.addLast(now);
+        while (rejected.peekFirst() < now - 1_000) {
+            rejected.removeFirst();
+        }
+        return rejected.size();
+    }
+
     private static int number(Pattern pattern, String text, int absent) {
         Matcher m = pattern.matcher(text);
         return m.find() ? Integer.parseInt(m.group(1)) : absent;
@@ -297,7 +325,16 @@
     }
 
     private void call(int workMs, Run run, String common, OutputStream out, Socket socket) throws IOException {
-        pause(workMs);
+        places.acquireUninterruptibly();
+        try {
+            pause(workMs);
+        } finally {
+            places.release();
+        }
+        if (!up) {
+            run.end = "lost with its server";
+            throw new IOException("server has ended");
+        }
         run.steps.add(Record.now());
         String body = "answer to " + run.request;
         if (framed) {
