Take no end of a connection for that of a response unless it is confirmed

Cause: a response with neither a length nor chunks ends with its connection, and every reader took any end without a reported error for it. Two ends report none: a close by the target with unread bytes ends its side first and hides the reset behind that end; and if a write of the request meets the reset first, the client closes the connection by itself, which the decoder takes for the end as well. forward asked only whether an error had been reported within 5 ms, the other clients asked nothing.

Change: GuardedHttpClient is the HTTP client of all programs. Its ResponseEndGuard passes the end of such a response on only if the request was written to its last byte, the peer closed its side, no error was reported and none is pending at the socket 5 ms later. Otherwise the reader gets a failure, as for a length that is not met: 502, or a stream that is cut or goes on elsewhere. isPossiblyIncomplete and its wait are gone.

--- a/core/src/main/java/org/verbenatally/order/HttpEngineControl.java
+++ b/core/src/main/java/org/verbenatally/order/HttpEngineControl.java
@@ -10,7 +10,6 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -20,6 +19,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.GuardedHttpClient;
 import org.verbenatally.http.ResponseHeads;
 
 /** Client of the engines' HTTP interface: {@code GET /v1/load} and {@code POST /v1/orders}. */
@@ -28,16 +28,18 @@
     private static final int MAX_BODY_BYTES = 1 << 16;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final HttpClient client;
+    private final GuardedHttpClient client;
 
     /**
      * Creates a client. Connections are not kept alive: reads are rare, an idle connection may have failed unnoticed,
      * and a response does not state to which request it belongs.
      */
     public HttpEngineControl(Vertx vertx) {
-        client = vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout((int) TIMEOUT.toMillis())
-                .setKeepAlive(false));
+        client = new GuardedHttpClient(
+                vertx,
+                new HttpClientOptions()
+                        .setConnectTimeout((int) TIMEOUT.toMillis())
+                        .setKeepAlive(false));
     }
 
     @Override
--- a/core/src/main/java/org/verbenatally/peer/PlatformClient.java
+++ b/core/src/main/java/org/verbenatally/peer/PlatformClient.java
@@ -21,7 +21,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -33,6 +32,7 @@
 import org.verbenatally.core.Outcome;
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
+import org.verbenatally.http.GuardedHttpClient;
 import org.verbenatally.http.ResponseHeads;
 
 /** HTTP client for the platform's configuration and instance list. Futures fail with a {@link StepException}. */
@@ -55,18 +55,20 @@
                     .build())
             .build());
 
-    private final HttpClient http;
+    private final GuardedHttpClient http;
     private final Address address;
     /** Ids of the items in the latest list that describe no instance. */
     private volatile Set<String> ignored = Set.of();
 
     PlatformClient(Vertx vertx, Address address) {
         this.address = address;
-        http = vertx.createHttpClient(new HttpClientOptions()
-                .setConnectTimeout((int) TIMEOUT.toMillis())
-                // Connections are not pooled, so that neither a silent one nor a late response can
-                // reach the next read; reads are rare.
-                .setKeepAlive(false));
+        http = new GuardedHttpClient(
+                vertx,
+                new HttpClientOptions()
+                        .setConnectTimeout((int) TIMEOUT.toMillis())
+                        // Connections are not pooled, so that neither a silent one nor a late response can
+                        // reach the next read; reads are rare.
+                        .setKeepAlive(false));
     }
 
     /** Reads a document newer than a version; completes with empty if there is none within the wait. */
--- a/core/src/test/java/org/verbenatally/order/HttpEngineControlTest.java
+++ b/core/src/test/java/org/verbenatally/order/HttpEngineControlTest.java
@@ -15,6 +15,7 @@
 import org.verbenatally.core.ConfigVersion;
 import org.verbenatally.core.FailureDomain;
 import org.verbenatally.core.TargetId;
+import org.verbenatally.http.CuttingServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -46,10 +47,14 @@
                 .toCompletionStage()
                 .toCompletableFuture()
                 .get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        return engine(new Address("127.0.0.1", server.actualPort()));
+    }
+
+    private static Target engine(Address address) {
         return new Target(
                 new TargetId("e"),
                 TargetType.ENGINE,
-                new Address("127.0.0.1", server.actualPort()),
+                address,
                 new FailureDomain("Bole"),
                 List.of(),
                 "serve",
@@ -70,6 +75,16 @@
         }
     }
 
+    /** Guards against a report that is shortened, as a reset is hidden by the end of the connection. */
+    @Test
+    void reportThatIsCutIsNotBelieved() throws Exception {
+        try (CuttingServer server = new CuttingServer("HTTP/1.1 200 x\r\n\r\n{\"incarnation\":1}");
+                HttpEngineControl control = new HttpEngineControl(vertx)) {
+            assertThatThrownBy(() -> control.state(engine(server.address())).get(TIMEOUT_SECONDS, TimeUnit.SECONDS))
+                    .hasMessageContaining("connection ended within the response");
+        }
+    }
+
     /** Guards against a second copy of a report that is taken for a later one. */
     @Test
     void eachReadUsesANewConnection() throws Exception {
--- a/core/src/test/java/org/verbenatally/peer/PlatformClientTest.java
+++ b/core/src/test/java/org/verbenatally/peer/PlatformClientTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.verbenatally.core.Address;
+import org.verbenatally.http.CuttingServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
@@ -123,6 +124,18 @@
                 .hasMessageContaining("the head of the response");
     }
 
+    /** Guards against a document or list that is shortened, as a reset is hidden by the end of the connection. */
+    @Test
+    void responseThatIsCutIsNotBelieved() throws Exception {
+        try (CuttingServer server = new CuttingServer("HTTP/1.1 200 x\r\n\r\n[]")) {
+            PlatformClient client = new PlatformClient(vertx, server.address());
+            assertThatThrownBy(() -> client.instances().get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                    .hasMessageContaining("connection ended within the response");
+            assertThatThrownBy(() -> client.config(0, Duration.ZERO).get(TIMEOUT.toSeconds(), TimeUnit.SECONDS))
+                    .hasMessageContaining("connection ended within the response");
+        }
+    }
+
     /** Guards against a second copy of a response that is taken for the response to the next read. */
     @Test
     void eachReadUsesANewConnection() throws Exception {
--- a/ctl/src/main/java/org/verbenatally/ctl/EntryResponses.java
+++ b/ctl/src/main/java/org/verbenatally/ctl/EntryResponses.java
@@ -13,14 +13,15 @@
 import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.RequestOptions;
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.verbenatally.core.Address;
+import org.verbenatally.http.GuardedHttpClient;
 import org.verbenatally.http.ResponseHeads;
 
 /**
@@ -55,8 +56,8 @@
         Vertx vertx = Vertx.vertx();
         try {
             // Responses do not state to which request they belong, and an address may be given twice.
-            HttpClient client = vertx.createHttpClient(
-                    new HttpClientOptions().setConnectTimeout(TIMEOUT_MS).setKeepAlive(false));
+            GuardedHttpClient client = new GuardedHttpClient(
+                    vertx, new HttpClientOptions().setConnectTimeout(TIMEOUT_MS).setKeepAlive(false));
             for (Address address : parsed) {
                 try {
                     fetch(client, address, path).ifPresent(result.responses::add);
@@ -78,8 +79,12 @@
         }
     }
 
-    private static Optional<JsonNode> fetch(HttpClient client, Address address, String path) throws IOException {
-        Future<Optional<Buffer>> bodyOrEmpty = client.request(HttpMethod.GET, address.port(), address.host(), path)
+    private static Optional<JsonNode> fetch(GuardedHttpClient client, Address address, String path) throws IOException {
+        Future<Optional<Buffer>> bodyOrEmpty = client.request(new RequestOptions()
+                        .setMethod(HttpMethod.GET)
+                        .setHost(address.host())
+                        .setPort(address.port())
+                        .setURI(path))
                 .compose(HttpClientRequest::send)
                 .compose(EntryResponses::checkHead)
                 .compose(response -> switch (response.statusCode()) {
--- a/ctl/src/test/java/org/verbenatally/ctl/OperatorCommandsTest.java
+++ b/ctl/src/test/java/org/verbenatally/ctl/OperatorCommandsTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.verbenatally.http.CuttingServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -108,6 +109,15 @@
         }
     }
 
+    /** Guards against a report that is shortened, as a reset is hidden by the end of the connection. */
+    @Test
+    void reportThatIsCutIsNotBelieved() throws Exception {
+        try (CuttingServer server = new CuttingServer("HTTP/1.1 200 x\r\n\r\n{\"instance\":\"entry-1\"}")) {
+            assertThat(run("status", server.address().toString())).isEqualTo(ExitStatus.REFUSED);
+            assertThat(text(err)).contains("cannot query", "connection ended within the response");
+        }
+    }
+
     /** Starts an entry that writes the same bytes for each request; returns its port. */
     private static int listen(Vertx vertx, AtomicInteger connections, String bytes) throws Exception {
         return vertx.createNetServer()
--- a/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
+++ b/entry/src/main/java/org/verbenatally/entry/target/TargetHttpClient.java
@@ -10,7 +10,6 @@
 import io.vertx.core.Promise;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
@@ -20,6 +19,7 @@
 import org.verbenatally.config.Target;
 import org.verbenatally.http.ConnectionHistory;
 import org.verbenatally.http.ConnectionHistory.Exchange;
+import org.verbenatally.http.GuardedHttpClient;
 import org.verbenatally.http.ResponseHeads;
 import org.verbenatally.time.TimedAwait;
 
@@ -32,16 +32,16 @@
     private static final int MAX_HEADER_BYTES = 8_192;
 
     private final Vertx vertx;
-    private final HttpClient unpooledClient;
-    private final HttpClient pooledClient;
-    private final HttpClient loadClient;
+    private final GuardedHttpClient unpooledClient;
+    private final GuardedHttpClient pooledClient;
+    private final GuardedHttpClient loadClient;
     private final ConnectionHistory history = new ConnectionHistory();
 
     TargetHttpClient(Vertx vertx) {
         this.vertx = vertx;
-        this.unpooledClient = vertx.createHttpClient(clientOptions().setKeepAlive(false), poolOptions());
-        this.pooledClient = vertx.createHttpClient(pooledOptions(), poolOptions());
-        this.loadClient = vertx.createHttpClient(pooledOptions(), poolOptions());
+        this.unpooledClient = new GuardedHttpClient(vertx, clientOptions().setKeepAlive(false), poolOptions());
+        this.pooledClient = new GuardedHttpClient(vertx, pooledOptions(), poolOptions());
+        this.loadClient = new GuardedHttpClient(vertx, pooledOptions(), poolOptions());
     }
 
     private static HttpClientOptions clientOptions() {
@@ -78,7 +78,8 @@
         return connect(loadClient, target, HttpMethod.GET, uri);
     }
 
-    private Exchange connect(HttpClient client, Target target, HttpMethod method, String uri) throws TargetFailure {
+    private Exchange connect(GuardedHttpClient client, Target target, HttpMethod method, String uri)
+            throws TargetFailure {
         Optional<Exchange> exchange = Optional.empty();
         while (exchange.isEmpty()) {
             exchange = history.begin(request(client, target, method, uri));
@@ -86,7 +87,7 @@
         return exchange.get();
     }
 
-    private static HttpClientRequest request(HttpClient client, Target target, HttpMethod method, String uri)
+    private static HttpClientRequest request(GuardedHttpClient client, Target target, HttpMethod method, String uri)
             throws TargetFailure {
         RequestOptions options = new RequestOptions()
                 .setHost(target.address().host())
--- a/entry/src/test/java/org/verbenatally/entry/target/RawService.java
+++ b/entry/src/test/java/org/verbenatally/entry/target/RawService.java
@@ -50,10 +50,15 @@
     }
 
     Target target() {
+        return target(new Address(server.getInetAddress().getHostAddress(), server.getLocalPort()));
+    }
+
+    /** Returns a service at an address. */
+    static Target target(Address address) {
         return new Target(
                 new TargetId("t"),
                 TargetType.SERVICE,
-                new Address(server.getInetAddress().getHostAddress(), server.getLocalPort()),
+                address,
                 new FailureDomain("Bole"),
                 List.of(),
                 "serve",
--- a/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
+++ b/entry/src/test/java/org/verbenatally/entry/target/ServiceClientTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.verbenatally.config.Target;
 import org.verbenatally.core.KindName;
+import org.verbenatally.http.CuttingServer;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.entry.target.RawService.response;
@@ -102,6 +103,15 @@
         assertThat(call(target, "c1")).isEqualTo("BAD_ANSWER");
     }
 
+    /** Guards against a response that is shortened, as a reset is hidden by the end of the connection. */
+    @Test
+    void responseThatIsCutIsNotBelieved() throws Exception {
+        service((id, i) -> "");
+        try (CuttingServer server = new CuttingServer("HTTP/1.1 200 x\r\nCall-Id: c1\r\n\r\nanswer")) {
+            assertThat(call(RawService.target(server.address()), "c1")).isEqualTo("BROKEN");
+        }
+    }
+
     /**
      * Guards against a connection that serves another call although an earlier one on it was given up: its response
      * arrived between the end of the wait and the reset, which then found nothing to break off.
--- a/forward/src/main/java/org/verbenatally/forward/BodyRelay.java
+++ b/forward/src/main/java/org/verbenatally/forward/BodyRelay.java
@@ -50,7 +50,7 @@
         if (item instanceof ResponseBodyReader.Piece chunk && remaining.compareTo(MAX_CHUNK_LATENESS.negated()) > 0) {
             return Optional.of(chunk.bytes());
         }
-        if (item instanceof ResponseBodyReader.End && !components.client().isPossiblyIncomplete(attempt.response())) {
+        if (item instanceof ResponseBodyReader.End) {
             return Optional.empty();
         }
         attempt.cancel();
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -369,10 +369,7 @@
                     }
                 }
                 case ResponseBodyReader.End e -> {
-                    if (!events.hasIncompleteEvent()
-                            && !components
-                                    .client()
-                                    .isPossiblyIncomplete(segment.attempt().response())) {
+                    if (!events.hasIncompleteEvent()) {
                         return End.COMPLETE;
                     }
                     logBroken("ended within an event");
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -1,25 +1,17 @@
 package org.verbenatally.forward;
 
 import java.time.Duration;
-import java.util.Collections;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.Set;
-import java.util.WeakHashMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeoutException;
 import java.util.function.IntSupplier;
 
 import io.vertx.core.Future;
-import io.vertx.core.MultiMap;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpClientRequest;
-import io.vertx.core.http.HttpClientResponse;
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.http.HttpHeaders;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
@@ -29,6 +21,7 @@
 import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.http.ConnectionHistory;
+import org.verbenatally.http.GuardedHttpClient;
 import org.verbenatally.time.TimedAwait;
 
 /**
@@ -43,9 +36,6 @@
      */
     private static final int KEEP_ALIVE_SECONDS = 2;
 
-    /** The failure of a connection is reported within this time after its end. */
-    private static final Duration FAILURE_REPORT_DELAY = Duration.ofMillis(5);
-
     private static final int MAX_HEADER_BYTES = 16_384;
     private static final int MIN_CONNECTIONS = 8;
     /** Largest number of unpooled connections to one target at a time. */
@@ -55,14 +45,11 @@
 
     private final Vertx vertx;
     private final IntSupplier members;
-    /** Connections that failed; held weakly, as they are of no use once their responses are gone. */
-    private final Set<HttpConnection> failedConnections = weakSet();
-
     private final ConnectionHistory connections = new ConnectionHistory();
 
-    private final Map<ServiceName, HttpClient> clients = new ConcurrentHashMap<>();
-    private final HttpClient unpooledClient;
-    private final HttpClient peerClient;
+    private final Map<ServiceName, GuardedHttpClient> clients = new ConcurrentHashMap<>();
+    private final GuardedHttpClient unpooledClient;
+    private final GuardedHttpClient peerClient;
 
     TargetClient(Vertx vertx, IntSupplier members) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
@@ -71,29 +58,22 @@
         this.peerClient = createClient(false, MAX_PEER_CONNECTIONS);
     }
 
-    private static Set<HttpConnection> weakSet() {
-        return Collections.newSetFromMap(Collections.synchronizedMap(new WeakHashMap<>()));
-    }
-
-    private HttpClient client(ServiceSpec service) {
+    private GuardedHttpClient client(ServiceSpec service) {
         return clients.computeIfAbsent(service.name(), name -> {
             int share = service.maxConnections() / Math.max(1, members.getAsInt());
             return createClient(true, Math.max(MIN_CONNECTIONS, share));
         });
     }
 
-    private HttpClient createClient(boolean keepAlive, int maxConnections) {
-        return vertx.httpClientBuilder()
-                .with(new HttpClientOptions()
-                        .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
-                        .setMaxHeaderSize(MAX_HEADER_BYTES)
-                        .setKeepAlive(keepAlive)
-                        .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
-                        .setDecompressionSupported(false)
-                        .setTcpNoDelay(true))
-                .with(new PoolOptions().setHttp1MaxSize(maxConnections))
-                .withConnectHandler(connection -> connection.exceptionHandler(e -> failedConnections.add(connection)))
-                .build();
+    private GuardedHttpClient createClient(boolean keepAlive, int maxConnections) {
+        HttpClientOptions options = new HttpClientOptions()
+                .setConnectTimeout((int) CONNECT_TIMEOUT.toMillis())
+                .setMaxHeaderSize(MAX_HEADER_BYTES)
+                .setKeepAlive(keepAlive)
+                .setKeepAliveTimeout(KEEP_ALIVE_SECONDS)
+                .setDecompressionSupported(false)
+                .setTcpNoDelay(true);
+        return new GuardedHttpClient(vertx, options, new PoolOptions().setHttp1MaxSize(maxConnections));
     }
 
     /**
@@ -124,7 +104,8 @@
         return connect(peerClient, address, method, uri, limit);
     }
 
-    private TargetExchange connect(HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
+    private TargetExchange connect(
+            GuardedHttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
         Optional<ConnectionHistory.Exchange> exchange = Optional.empty();
         while (exchange.isEmpty()) {
             exchange = connections.begin(request(client, address, method, uri, limit));
@@ -133,7 +114,7 @@
     }
 
     private HttpClientRequest request(
-            HttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
+            GuardedHttpClient client, Address address, HttpMethod method, String uri, Duration limit) {
         Future<HttpClientRequest> future = client.request(new RequestOptions()
                         .setHost(address.host())
                         .setPort(address.port())
@@ -155,17 +136,4 @@
     private static StepException notSent(Address address, String message, Exception cause) {
         return new StepException(Step.CONNECT, address.toString(), Outcome.NOT_RUN, message, cause);
     }
-
-    /**
-     * Returns whether a response that ended with its connection may be incomplete. A body without a length ends in the
-     * same way when its connection is reset; the failure is reported separately, at about the same time.
-     */
-    boolean isPossiblyIncomplete(HttpClientResponse response) {
-        MultiMap headers = response.headers();
-        if (headers.contains(HttpHeaders.CONTENT_LENGTH) || headers.contains(HttpHeaders.TRANSFER_ENCODING)) {
-            return false;
-        }
-        TimedAwait.sleep(vertx, FAILURE_REPORT_DELAY);
-        return failedConnections.contains(response.request().connection());
-    }
 }
--- a/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardFixture.java
@@ -56,6 +56,7 @@
     private final Duration timeout;
     private final String routeHost;
     private Optional<ServiceSpec.ColdLimit> coldLimit = Optional.empty();
+    private int bodyLimit = 65_536;
 
     ForwardFixture() throws IOException {
         this(TIMEOUT);
@@ -210,6 +211,12 @@
         configure(version);
     }
 
+    /** Puts a configuration in force that accepts bodies of up to the given number of bytes. */
+    void configureBodyLimit(long version, int bytes) throws InterruptedException {
+        bodyLimit = bytes;
+        configure(version);
+    }
+
     private void configure(long version, Optional<Map<String, OrganisationId>> credentials)
             throws InterruptedException {
         var engine = new ServiceSpec.EngineTraits(100_000, true, true, 1);
@@ -223,7 +230,7 @@
                         new ServiceSpec(CALLS, 100, Optional.empty(), coldLimit),
                         new ServiceSpec(ENGINES, 100, Optional.of(engine), coldLimit)),
                 credentials,
-                new ForwardDeployment.CallerLimits(8_192, 65_536)));
+                new ForwardDeployment.CallerLimits(8_192, bodyLimit)));
         server.offerConfig("test", Long.toString(version).getBytes(java.nio.charset.StandardCharsets.UTF_8));
         long deadline = System.nanoTime() + Duration.ofSeconds(20).toNanos();
         while (server.version() < version && System.nanoTime() < deadline) {
@@ -253,7 +260,12 @@
 
     /** Publishes one more target, which is avoided while it is published as cold. */
     void publish(String id, ServiceName service, RawTarget target, long coldMs) {
-        targets.add(target(id, service, target.address(), false, coldMs));
+        publish(id, service, target.address(), coldMs);
+    }
+
+    /** Publishes one more target at an address. */
+    void publish(String id, ServiceName service, Address address, long coldMs) {
+        targets.add(target(id, service, address, false, coldMs));
         server.directory().applyPublished(Targets.list(targets));
     }
 
--- a/forward/src/test/java/org/verbenatally/forward/RawTarget.java
+++ b/forward/src/test/java/org/verbenatally/forward/RawTarget.java
@@ -4,12 +4,14 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.OptionalInt;
 
 import org.verbenatally.core.Address;
 
@@ -22,12 +24,28 @@
         boolean respond(String head, OutputStream out, Socket socket) throws IOException, InterruptedException;
     }
 
-    private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private final ServerSocket server = new ServerSocket();
     private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
     private final Script script;
+    private final long maxBodyBytes;
 
     RawTarget(Script script) throws IOException {
+        this(script, Long.MAX_VALUE, OptionalInt.empty());
+    }
+
+    /**
+     * Starts a target that responds to requests whose bodies it may not have read.
+     *
+     * @param maxBodyBytes number of bytes of a body that are read before the response
+     * @param receiveBuffer size of the socket's receive buffer, in bytes; empty for that of the system
+     */
+    RawTarget(Script script, long maxBodyBytes, OptionalInt receiveBuffer) throws IOException {
         this.script = script;
+        this.maxBodyBytes = maxBodyBytes;
+        if (receiveBuffer.isPresent()) {
+            server.setReceiveBufferSize(receiveBuffer.getAsInt());
+        }
+        server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 50);
         Thread.ofVirtual().start(this::accept);
     }
 
@@ -70,8 +88,8 @@
         }
     }
 
-    /** Reads a head and skips the body, whose length the head states. */
-    private static String readHead(InputStream in) throws IOException {
+    /** Reads a head and skips the body, whose length the head states, as far as it is read at all. */
+    private String readHead(InputStream in) throws IOException {
         StringBuilder head = new StringBuilder();
         while (head.indexOf("\r\n\r\n") < 0) {
             int next = in.read();
@@ -82,8 +100,9 @@
         }
         for (String line : head.toString().split("\r\n")) {
             if (line.toLowerCase(java.util.Locale.ROOT).startsWith("content-length:")) {
-                in.skipNBytes(
-                        Long.parseLong(line.substring(line.indexOf(':') + 1).strip()));
+                long length =
+                        Long.parseLong(line.substring(line.indexOf(':') + 1).strip());
+                in.skipNBytes(Math.min(length, maxBodyBytes));
             }
         }
         return head.toString();
