Reject responses with malformed field names

Cause: the decoder of the HTTP client ends a name at its first white space and skips the rest up to the colon, and takes a line that begins with white space for a part of the field before. So "Content-Length 5: 7" becomes a length of 7. The fields that it reports show neither, so that no check of theirs can find it.

--- a/core/src/main/java/org/verbenatally/http/ResponseEndGuard.java
+++ b/core/src/main/java/org/verbenatally/http/ResponseEndGuard.java
@@ -13,14 +13,11 @@
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
-import io.vertx.core.http.HttpConnection;
-import io.vertx.core.net.impl.ConnectionBase;
 
 /**
  * Decides whether the end of a client connection is the end of the response on it. A response with neither a length nor
@@ -32,6 +29,9 @@
  * <p>All fields are used on the event loop of the connection only.
  */
 final class ResponseEndGuard {
+    /** Name of a handler in each pipeline that has this guard. */
+    static final String NAME = "response end";
+
     /** A reset that follows the end of the peer's side is received within this time. */
     private static final Duration RESET_DELAY = Duration.ofMillis(5);
 
@@ -46,24 +46,12 @@
     /** Whether the end of the connection is that of the open response. */
     private boolean confirmed;
 
-    private ResponseEndGuard() {}
-
-    /**
-     * Watches a client connection, unless it is watched already. Must be called before anything is sent on it, by the
-     * thread that sends it: a message that another thread is about to write could pass the new handlers by.
-     */
-    static void install(HttpConnection connection) {
-        Channel channel = ((ConnectionBase) connection).channel();
-        ChannelPipeline pipeline = channel.pipeline();
-        ChannelHandlerContext codec = pipeline.context(HttpClientCodec.class);
-        if (codec == null || pipeline.get(MessageHandler.class) != null) {
-            return;
-        }
+    /** Adds the handlers of this guard to a pipeline, around its codec. */
+    void addTo(ChannelPipeline pipeline, String codec) {
         // Without this option, the channel is closed before the guard has learnt why.
-        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
-        ResponseEndGuard guard = new ResponseEndGuard();
-        pipeline.addBefore(codec.name(), "connection end", guard.new ConnectionHandler());
-        pipeline.addAfter(codec.name(), "response end", guard.new MessageHandler());
+        pipeline.channel().config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        pipeline.addBefore(codec, "connection end", new ConnectionHandler());
+        pipeline.addAfter(codec, NAME, new MessageHandler());
     }
 
     /** Learns how the connection ends, before the decoder does. */
@@ -76,7 +64,7 @@
                 super.userEventTriggered(context, event);
                 return;
             }
-            if (responseOpen && isSound(context.channel())) {
+            if (responseOpen && mayEndResponse(context.channel())) {
                 context.executor()
                         .schedule(() -> confirmAndClose(context), RESET_DELAY.toMillis(), TimeUnit.MILLISECONDS);
             } else {
@@ -85,11 +73,12 @@
         }
 
         private void confirmAndClose(ChannelHandlerContext context) {
-            confirmed = isSound(context.channel()) && !SocketErrors.isPending(context.channel());
+            confirmed = mayEndResponse(context.channel()) && !SocketErrors.isPending(context.channel());
             context.close();
         }
 
-        private boolean isSound(Channel channel) {
+        /** Returns whether the request was written whole, and no error reported. */
+        private boolean mayEndResponse(Channel channel) {
             ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
             return requestEnded && unwritten != null && unwritten.totalPendingWriteBytes() == 0 && !failed;
         }
--- a/core/src/test/java/org/verbenatally/http/GuardedHttpClientTest.java
+++ b/core/src/test/java/org/verbenatally/http/GuardedHttpClientTest.java
@@ -164,6 +164,21 @@
         }
     }
 
+    /** Guards against a field that the server did not state, and a connection that goes on behind it. */
+    @Test
+    void responseWithAMalformedFieldNameIsRejected() throws Exception {
+        var closed = new CountDownLatch(1);
+        serve(
+                socket -> {
+                    write(socket, "HTTP/1.1 200 OK\r\nBad Name: v\r\nContent-Length: 4\r\n\r\nbody");
+                    // Ends when the client closes the connection.
+                    assertThat(socket.getInputStream().read()).isNegative();
+                },
+                closed::countDown);
+        assertThatThrownBy(() -> body(Buffer.buffer())).hasMessageContaining("malformed field name");
+        assertThat(closed.await(TIMEOUT_SECONDS, TimeUnit.SECONDS)).isTrue();
+    }
+
     /** Guards against connections that stay open, or are used again, after the server has closed its side. */
     @Test
     void connectionThatTheServerHasClosedIsNotUsed() throws Exception {
