--- a/tools/src/main/java/org/verbenatally/load/CallerClient.java
+++ b/tools/src/main/java/org/verbenatally/load/CallerClient.java
@@ -11,13 +11,13 @@
 
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientOptions;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.PoolOptions;
 import io.vertx.core.http.RequestOptions;
 import org.verbenatally.core.Address;
 import org.verbenatally.history.HistoryRecord;
+import org.verbenatally.http.GuardedHttpClient;
 
 /**
  * Client that acts as the callers of the system. It sends work to the entries in turn, resumes a stream at another
@@ -29,7 +29,7 @@
 
     private final CallerOptions options;
     private final Vertx vertx = Vertx.vertx();
-    private final HttpClient client;
+    private final GuardedHttpClient client;
     private final Consumer<HistoryRecord> history;
     private final AtomicInteger nextEntry = new AtomicInteger();
     private final Map<Thread, CallRequest> openCalls = new ConcurrentHashMap<>();
@@ -47,7 +47,8 @@
     public CallerClient(CallerOptions options, Consumer<HistoryRecord> history) {
         this.options = options;
         this.history = history;
-        client = vertx.createHttpClient(
+        client = new GuardedHttpClient(
+                vertx,
                 new HttpClientOptions()
                         .setConnectTimeout((int) options.connectTimeoutMs())
                         .setTcpNoDelay(true)
--- a/tools/src/main/java/org/verbenatally/load/Exchange.java
+++ b/tools/src/main/java/org/verbenatally/load/Exchange.java
@@ -6,10 +6,10 @@
 
 import io.vertx.core.MultiMap;
 import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClient;
 import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.RequestOptions;
+import org.verbenatally.http.GuardedHttpClient;
 
 /** One HTTP exchange, read as a sequence of parts by the thread that started it. */
 final class Exchange {
@@ -36,7 +36,7 @@
     private volatile boolean reset;
 
     /** Sends a request; {@link #next} returns the parts of the response, or the failure. */
-    Exchange(HttpClient client, RequestOptions options, Buffer body) {
+    Exchange(GuardedHttpClient client, RequestOptions options, Buffer body) {
         // The response handler is set on the event loop before the request is sent. If it were set from this thread,
         // the first bytes could arrive before it and be lost.
         client.request(options).onComplete(opened -> send(opened, body), this::onFailure);
