Draw early responses, malformed names and undefined statuses in bin/rig

One request in 20 has a body of 300 KB or 4 MB now (--uploads), half of the targets have small receive buffers, and targets answer a share of the uploads with a part of an answer without a length before they have read them, then reset or close the connection (EARLY). FIELD_NAME and UNDEFINED_STATUS malform the heads of answers. The checker takes a malformed head or an undefined status that reaches a caller for MIXED.

--- a/tools/src/main/java/org/verbenatally/rig/Answer.java
+++ b/tools/src/main/java/org/verbenatally/rig/Answer.java
@@ -132,14 +132,26 @@
         return new Answer(requestId, stamp, other, notRun, statesId, framing, headers, body, pause);
     }
 
+    /** Returns this answer with one more line in its head. */
+    Answer withHeader(String line, int position) {
+        List<String> more = new ArrayList<>(headers);
+        more.add(position, line);
+        return new Answer(requestId, stamp, status, notRun, statesId, framing, more, body, pause);
+    }
+
+    /** Returns whether the name of a field is no token (RFC 9110, section 5.1). */
+    boolean isMalformed() {
+        return headers.stream().anyMatch(line -> !line.matches("[!#$%&'*+.^_`|~0-9A-Za-z-]+:.*"));
+    }
+
     boolean isSuccess() {
         return status >= 200 && status < 300;
     }
 
     /** Returns the head with the empty line. */
     byte[] head() {
-        return ("HTTP/1.1 " + status + " " + (isSuccess() ? "OK" : "Failed") + "\r\n" + String.join("\r\n", headers)
-                        + "\r\n\r\n")
+        return ("HTTP/1.1 " + "%03d".formatted(status) + " " + (isSuccess() ? "OK" : "Failed") + "\r\n"
+                        + String.join("\r\n", headers) + "\r\n\r\n")
                 .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -161,6 +173,16 @@
         return out.toByteArray();
     }
 
+    /** Draws a part of an answer that is not chunked: the head, and a body that ends behind an event, if it has any. */
+    byte[] drawBeginning(SplittableRandom random) {
+        String part = new String(body, 0, random.nextInt(body.length), StandardCharsets.US_ASCII);
+        int end = part.lastIndexOf("\n\n");
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(head());
+        out.writeBytes((end < 0 ? part : part.substring(0, end + 2)).getBytes(StandardCharsets.US_ASCII));
+        return out.toByteArray();
+    }
+
     /** Draws a position at which the answer is cut, mostly within the head; at least one byte is on either side. */
     int drawCut(SplittableRandom random) {
         byte[] head = head();
--- a/tools/src/main/java/org/verbenatally/rig/MisbehavingTarget.java
+++ b/tools/src/main/java/org/verbenatally/rig/MisbehavingTarget.java
@@ -4,6 +4,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
@@ -30,11 +31,16 @@
  */
 final class MisbehavingTarget implements AutoCloseable {
     private static final Logger LOG = Logger.getLogger(MisbehavingTarget.class);
+    /** A request whose body is at least as long may be answered before it was read. */
+    static final int MIN_UPLOAD_BYTES = 300_000;
+
     private static final int BACKLOG = 200;
     private static final int MAX_REPEAT_DELAY_MS = 50;
     private static final int MAX_WORK_MS = 20;
     private static final int LATE_MS = 300;
     private static final int CLOSE_DELAY_MS = 3;
+    private static final int SMALL_BUFFER = 16_384;
+    private static final int[] EARLY_DELAYS_MS = {0, 4, 40};
     private static final Duration PAUSE = Duration.ofSeconds(2);
 
     private static final List<String> JUNK =
@@ -45,7 +51,17 @@
             "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n",
             "HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n");
 
-    private final ServerSocket socket = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
+    private static final List<String> MALFORMED_LINES = List.of(
+            "Bad Name: v",
+            "Bad\tName: v",
+            "Bad\1Name: v",
+            " Folded: v",
+            "Content Length: 5",
+            "Content-Length 5: 7",
+            "Transfer Encoding: chunked");
+    private static final int[] UNDEFINED_STATUSES = {0, 1, 99, 600, 999};
+
+    private final ServerSocket socket = new ServerSocket();
     private final String id;
     private final String service;
     private final RigOptions options;
@@ -59,6 +75,10 @@
         this.service = service;
         this.options = options;
         this.history = history;
+        if (options.random(id + "buffer").nextBoolean()) {
+            socket.setReceiveBufferSize(SMALL_BUFFER);
+        }
+        socket.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), BACKLOG);
         Thread.startVirtualThread(this::accept);
     }
 
@@ -91,8 +111,8 @@
             InputStream in = new BufferedInputStream(accepted.getInputStream());
             boolean open = true;
             while (open) {
-                Optional<RawMessage> request = RawMessage.readRequest(in);
-                open = request.isPresent() && request.get().complete() && answer(request.get(), connection);
+                Optional<RawMessage> request = RawMessage.readRequest(in, head -> !isAnsweredEarly(head));
+                open = request.isPresent() && answerOrEnd(request.get(), connection);
             }
         } catch (IOException e) {
             LOG.debugf("%s: connection lost: %s", connection, e.getMessage());
@@ -101,6 +121,43 @@
         }
     }
 
+    /** Answers a request, or a part of it; returns whether the connection stays open. */
+    private boolean answerOrEnd(RawMessage request, TargetConnection connection)
+            throws IOException, InterruptedException {
+        if (request.complete()) {
+            return answer(request, connection);
+        }
+        if (isAnsweredEarly(request)) {
+            answerEarly(request, connection);
+        }
+        return false;
+    }
+
+    private boolean isAnsweredEarly(RawMessage head) {
+        Optional<String> request = PlatformMessages.requestId(head);
+        return request.isPresent()
+                && PlatformMessages.kind(head).isPresent()
+                && !PlatformMessages.isMisdirected(head, id)
+                && Integer.parseInt(head.header("Content-Length").orElse("0")) >= MIN_UPLOAD_BYTES
+                && options.draws(Misbehaviour.EARLY, options.random(request.get() + id + "early"));
+    }
+
+    /** Sends a part of an answer without a length, and ends the connection with the request's body unread. */
+    private void answerEarly(RawMessage head, TargetConnection connection) throws IOException, InterruptedException {
+        String request = PlatformMessages.requestId(head).orElseThrow();
+        Kind kind = PlatformMessages.kind(head).orElseThrow();
+        int after = PlatformMessages.continuesAfter(head).orElse(0);
+        connection.noteRead(request + ", without its body");
+        SplittableRandom random = options.random(request + id);
+        String stamp = "stamp-" + id + "-" + stamps.incrementAndGet();
+        Answer answer = Answer.draw(kind, request, stamp, after, true, options, random);
+        history.add(
+                new TargetRun(id, connection, history.millis(), after > 0, answer, connection.takePreceding(), false));
+        connection.writeAnswer("answers early " + request, answer.drawBeginning(random));
+        Thread.sleep(EARLY_DELAYS_MS[random.nextInt(EARLY_DELAYS_MS.length)]);
+        connection.close(random.nextBoolean());
+    }
+
     /** Answers a request; returns whether the connection stays open. */
     private boolean answer(RawMessage request, TargetConnection connection) throws IOException, InterruptedException {
         Optional<Kind> kind = PlatformMessages.kind(request);
@@ -125,9 +182,10 @@
         SplittableRandom random = options.random(request + id);
         boolean noLength = options.draws(Misbehaviour.NO_LENGTH, random);
         String stamp = "stamp-" + id + "-" + stamps.incrementAndGet();
-        Answer answer = options.draws(Misbehaviour.PAUSE, options.random(request + id + "pause"))
+        Answer drawn = options.draws(Misbehaviour.PAUSE, options.random(request + id + "pause"))
                 ? Answer.pausing(request, stamp, PAUSE)
                 : Answer.draw(kind, request, stamp, continuesAfter.orElse(0), noLength, options, random);
+        Answer answer = malform(drawn, options.random(request + id + "malformed"));
         boolean breaksOff = options.draws(Misbehaviour.BREAK_OFF, random);
         boolean late = options.draws(Misbehaviour.LATE, random);
         Thread.sleep(late ? kind.timeout().toMillis() + random.nextInt(LATE_MS) : random.nextInt(1, MAX_WORK_MS));
@@ -136,7 +194,7 @@
             connection.forbidStrayBytes();
         }
         List<String> preceding = connection.takePreceding();
-        boolean sound = !breaksOff && !late && preceding.isEmpty();
+        boolean sound = answer == drawn && !breaksOff && !late && preceding.isEmpty();
         history.add(
                 new TargetRun(id, connection, history.millis(), continuesAfter.isPresent(), answer, preceding, sound));
         byte[] bytes = answer.bytes();
@@ -158,6 +216,18 @@
         return true;
     }
 
+    /** Returns the answer with a head that HTTP does not allow, or as it is. */
+    private Answer malform(Answer answer, SplittableRandom random) {
+        if (options.draws(Misbehaviour.FIELD_NAME, random)) {
+            String line = MALFORMED_LINES.get(random.nextInt(MALFORMED_LINES.size()));
+            return answer.withHeader(line, random.nextInt(answer.headers().size() + 1));
+        }
+        if (options.draws(Misbehaviour.UNDEFINED_STATUS, random)) {
+            return answer.withStatus(UNDEFINED_STATUSES[random.nextInt(UNDEFINED_STATUSES.length)]);
+        }
+        return answer;
+    }
+
     /** Writes what a faulty target may send in front of an answer. */
     private void writeStrayBytes(Answer answer, TargetConnection connection, SplittableRandom random)
             throws IOException, InterruptedException {
--- a/tools/src/main/java/org/verbenatally/rig/Misbehaviour.java
+++ b/tools/src/main/java/org/verbenatally/rig/Misbehaviour.java
@@ -24,6 +24,12 @@
     CLOSE(0.03),
     /** Answers after the request's time. */
     LATE(0.01),
+    /** Answers an upload without a length before it has read it, and ends the connection. */
+    EARLY(0.3),
+    /** States a field whose name is malformed. */
+    FIELD_NAME(0.02),
+    /** States a status that HTTP does not define. */
+    UNDEFINED_STATUS(0.01),
     /** Refuses the request and states how long it wants no others. */
     PAUSE(0);
 
--- a/tools/src/main/java/org/verbenatally/rig/RigCaller.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigCaller.java
@@ -21,6 +21,8 @@
     private static final int MAX_STAY_MS = 30;
     private static final int TIMEOUT_MARGIN_MS = 3_000;
     private static final int RECONNECT_MS = 50;
+    /** Lengths of uploads: one that fits into the buffers of the operating system, and one that may not. */
+    private static final int[] UPLOAD_BYTES = {MisbehavingTarget.MIN_UPLOAD_BYTES, 4_000_000};
 
     private final int number;
     private final RigOptions options;
@@ -75,7 +77,7 @@
         Optional<RawMessage> response = Optional.empty();
         try {
             socket.setSoTimeout((int) kind.timeout().toMillis() + TIMEOUT_MARGIN_MS);
-            socket.getOutputStream().write(PlatformMessages.request(kind, id, "body of " + id));
+            socket.getOutputStream().write(PlatformMessages.request(kind, id, body(id)));
             if (random.nextDouble() < options.leavers()) {
                 Thread.sleep(random.nextInt(MAX_STAY_MS));
                 disconnect();
@@ -95,6 +97,12 @@
         }
     }
 
+    private String body(String id) {
+        SplittableRandom random = options.random(id + "body");
+        boolean upload = random.nextDouble() < options.uploads();
+        return "body of " + id + (upload ? " ".repeat(UPLOAD_BYTES[random.nextInt(UPLOAD_BYTES.length)]) : "");
+    }
+
     private void connect(InstanceProcess instance) throws IOException {
         if (socket == null) {
             socket = new Socket("127.0.0.1", instance.front());
--- a/tools/src/main/java/org/verbenatally/rig/RigChecker.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigChecker.java
@@ -17,6 +17,7 @@
 /** Compares what callers got with what targets sent. Results may be added by any thread. */
 final class RigChecker {
     private static final List<Integer> REFUSALS = List.of(408, 421, 429, 503);
+    private static final int LAST_DEFINED = 599;
 
     private final RunHistory history;
     private final Consumer<JsonObject> record;
@@ -53,6 +54,9 @@
         if (result.status() < 200) {
             return mixed(result.status() == 0 ? "bytes that are no response" : "interim response as the final one");
         }
+        if (result.status() > LAST_DEFINED) {
+            return mixed("status that is not defined");
+        }
         Optional<String> stamp = PlatformMessages.stamp(response);
         if (PlatformMessages.requestId(response)
                 .filter(id -> !id.equals(result.id()))
@@ -70,6 +74,9 @@
         if (!answer.requestId().equals(result.id())) {
             return mixed("response to another request");
         }
+        if (answer.isMalformed()) {
+            return mixed("response with a malformed field name");
+        }
         if (answer.status() != result.status()) {
             return mixed(
                     success
--- a/tools/src/main/java/org/verbenatally/rig/RigOptions.java
+++ b/tools/src/main/java/org/verbenatally/rig/RigOptions.java
@@ -22,6 +22,7 @@
  * @param callers number of callers, each with a kept connection
  * @param failures share of the answers that state a failure or a refusal
  * @param leavers share of the requests whose callers leave early
+ * @param uploads share of the requests that have large bodies
  * @param freezes whether instances are suspended for some time, one after the other
  * @param restarts whether instances are terminated and started again, one after the other
  * @param departures whether engines announce their departure, one after the other, so that generations are copied
@@ -36,6 +37,7 @@
         int callers,
         double failures,
         double leavers,
+        double uploads,
         boolean freezes,
         boolean restarts,
         boolean departures,
@@ -60,6 +62,7 @@
                 .addOption(null, "callers", true, "number of callers; default: 40")
                 .addOption(null, "failures", true, "share of failures and refusals; default: 0.4")
                 .addOption(null, "leavers", true, "share of callers that leave early; default: 0.15")
+                .addOption(null, "uploads", true, "share of requests with large bodies; default: 0.05")
                 .addOption(null, "freezes", false, "suspend instances in turn")
                 .addOption(null, "restarts", false, "terminate and restart instances in turn")
                 .addOption(null, "departures", false, "let engines leave in turn")
@@ -77,6 +80,7 @@
                 Integer.parseInt(line.getOptionValue("callers", "40")),
                 Double.parseDouble(line.getOptionValue("failures", "0.4")),
                 Double.parseDouble(line.getOptionValue("leavers", "0.15")),
+                Double.parseDouble(line.getOptionValue("uploads", "0.05")),
                 line.hasOption("freezes"),
                 line.hasOption("restarts"),
                 line.hasOption("departures"),
--- a/tools/src/test/java/org/verbenatally/rig/RigCheckerTest.java
+++ b/tools/src/test/java/org/verbenatally/rig/RigCheckerTest.java
@@ -31,9 +31,13 @@
 
     private Answer run(String id, String stamp, int status, boolean notRun) {
         Answer answer = answer(id, stamp, status, notRun);
+        add(answer);
+        return answer;
+    }
+
+    private void add(Answer answer) {
         var connection = new TargetConnection("target#1", null, history::millis);
         history.add(new TargetRun("target", connection, 0, false, answer, List.of(), true));
-        return answer;
     }
 
     private void respond(int status, Answer answer, String body) {
@@ -74,6 +78,22 @@
         assertThat(rules()).containsExactly("MIXED", "MIXED");
     }
 
+    /** Guards against a status that HTTP does not define and is not seen. */
+    @Test
+    void undefinedStatusIsMixed() {
+        respond(600, run(ID, "s1", 600, false), ID + "s1");
+        assertThat(rules()).containsExactly("MIXED");
+    }
+
+    /** Guards against a malformed head that is passed on and is not seen. */
+    @Test
+    void malformedHeadIsMixed() {
+        Answer answer = answer(ID, "s1", 200, false).withHeader("Bad Name: v", 0);
+        add(answer);
+        respond(200, answer, ID + "s1");
+        assertThat(rules()).containsExactly("MIXED");
+    }
+
     /** Guards against an interim response that is taken for the final one. */
     @Test
     void interimResponseIsMixed() {
