Close the listener of a test's target before going on

The log shows why: the probe of the second target was accepted and then reset, so that no crash was counted.

The test took a closed listener for granted and was wrong.

--- a/forward/src/test/java/org/verbenatally/forward/RawTarget.java
+++ b/forward/src/test/java/org/verbenatally/forward/RawTarget.java
@@ -8,10 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.concurrent.locks.LockSupport;
 
 import org.verbenatally.core.Address;
 
@@ -24,6 +26,11 @@
         boolean respond(String head, OutputStream out, Socket socket) throws IOException, InterruptedException;
     }
 
+    /** Far longer than a listener takes to close; another process may get its port meanwhile. */
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(2);
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(1);
+
     private final ServerSocket server = new ServerSocket();
     private final List<String> requests = Collections.synchronizedList(new ArrayList<>());
     private final Script script;
@@ -129,8 +136,22 @@
         socket.close();
     }
 
+    /** Stops listening, and waits until connections are refused; those that are open stay so. */
     @Override
     public void close() throws IOException {
         server.close();
+        // A listener that a virtual thread is just waiting at may accept connections for a moment after its close.
+        long deadline = System.nanoTime() + CLOSE_TIMEOUT.toNanos();
+        while (acceptsConnections() && System.nanoTime() < deadline) {
+            LockSupport.parkNanos(CHECK_INTERVAL.toNanos());
+        }
+    }
+
+    private boolean acceptsConnections() {
+        try (Socket socket = new Socket(server.getInetAddress(), server.getLocalPort())) {
+            return socket.isConnected();
+        } catch (IOException e) {
+            return false;
+        }
     }
 }
