List what the tests and the soak found and this change does not fix

A target that ends an unframed response in order, with a part of an upload unread, and resets the connection 40 ms later: these cases were red and had been left out of EarlyResponseTest.

--- a/forward/src/test/java/org/verbenatally/forward/EarlyResponseTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/EarlyResponseTest.java
@@ -16,6 +16,7 @@
 
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -161,6 +162,21 @@
         }
     }
 
+    private static Stream<Upload> bufferedUploads() {
+        return uploads(BUFFERED_BYTES, 0, 30_000, BUFFERED_BYTES / 2);
+    }
+
+    /**
+     * Guards against a response that callers take for complete although its target resets the connection some time
+     * after it has ended the response. Fails, see KNOWN-RED.txt.
+     */
+    @ParameterizedTest
+    @MethodSource("bufferedUploads")
+    @EnabledIfSystemProperty(named = "knownRed", matches = "true")
+    void responseOfUploadThatIsResetLaterIsNotComplete(Upload upload) throws Exception {
+        responseOfBrokenOffUploadIsNotComplete(upload, "closes later", EarlyResponseTest::closeLater, "");
+    }
+
     private static Stream<Upload> uploadsToEndingProcess() {
         return PATHS.stream()
                 .flatMap(path ->
