Give a continuation up after 250 ms while the former engine may still run

Cause: StreamContinuation waited 2 s for the head of that response. This is right for a generation whose engine is lost, but the same wait was used while the leaving engine still ran the generation, for a backup and a copy alike. attempt.failed came 2.0 s after request.sent, and the other engine ended within 10 ms of the close, so the wait is the cause and not the close.

While the former engine may still run the generation, the wait is 250 ms now, which leaves the engine that is given up time to end within the 400 ms that are allowed; 2 s remain where the former engine is lost. The next copy goes to another engine, if there is one.

--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -26,10 +26,10 @@
     private static final int MAX_CONTINUATIONS = 8;
     /** A generation that has lost this many engines without notice is not given to another one. */
     private static final int MAX_LOSSES = 2;
-    /** Longest wait for an engine to continue from a copy. */
+    /** Longest wait for an engine to continue a generation that no other one runs. */
     private static final Duration CONTINUE_TIMEOUT = Duration.ofSeconds(2);
-    /** The same while the present engine may still work on the generation, which two engines must not do for long. */
-    private static final Duration OVERLAP_TIMEOUT = Duration.ofMillis(350);
+    /** Longest wait while the present engine may still run the generation, which two engines must not do for long. */
+    private static final Duration OVERLAP_TIMEOUT = Duration.ofMillis(250);
     /** Time after which a backup is tried again whose engine did not respond. */
     private static final Duration BACKUP_RETRY_PAUSE = Duration.ofSeconds(1);
 
@@ -110,9 +110,9 @@
     /** Continues at another engine while the leaving one still runs the generation; empty if that is not possible. */
     Optional<StreamSegment> continueFromLeaving(StreamSegment segment) {
         if (!hasUsableBackup(segment.inFlight())) {
-            return continueFromMigration(segment);
+            return continueFromMigration(segment, OVERLAP_TIMEOUT);
         }
-        return tryBackup(segment, CONTINUE_TIMEOUT, caller::onGone);
+        return tryBackup(segment, OVERLAP_TIMEOUT, caller::onGone);
     }
 
     /**
@@ -173,7 +173,8 @@
         if (migration.hasCopy()) {
             awaitAllowance(migration.destination());
         }
-        Optional<StreamSegment> next = migration.hasCopy() ? continueFromMigration(segment) : Optional.empty();
+        Optional<StreamSegment> next =
+                migration.hasCopy() ? continueFromMigration(segment, CONTINUE_TIMEOUT) : Optional.empty();
         return next.isPresent() ? next : recover(segment.inFlight());
     }
 
@@ -190,13 +191,16 @@
                 : continueFromBackup(backup);
     }
 
-    private Optional<StreamSegment> continueFromMigration(StreamSegment segment) {
+    private Optional<StreamSegment> continueFromMigration(StreamSegment segment, Duration limit) {
         Optional<StreamSegment> next = continueAt(
                 migration.destination(),
                 migration.copyId(),
                 segment.targetState().target().address(),
-                CONTINUE_TIMEOUT,
+                limit,
                 caller::onGone);
+        if (next.isEmpty()) {
+            migration.avoidDestination();
+        }
         migration.reset();
         return next;
     }
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -59,6 +59,13 @@
         endReservation();
     }
 
+    /** Has the next copy made to another engine, if there is one, as this one did not continue from its copy. */
+    void avoidDestination() {
+        if (destination != null) {
+            refusedBy.add(destination.target().id());
+        }
+    }
+
     private void endReservation() {
         if (reservation != null) {
             reservation.close();
