Order engines to stop runs that went on elsewhere

Callers noticed nothing, but the work was done twice.

Cause: a closed connection was taken for the end of the run on every path on which a generation leaves an engine. The order of the protocol that stops a run was never sent.

RunStopper orders the former engine to stop, 50 ms after its connection was closed, until it confirms that it does not run the generation; an engine that has dropped it says so and copies nothing. Runs of continuations that were given up are ended in the same way. StreamRun.continueWith is the only way to another engine, so that all paths use it. A generation does not go on where an order to stop it is under way. EngineOrders sends all orders, which were a part of StreamMigration.

SilentTargetTest.secondSilenceDoesNotEndGeneration counted every request to its engines as a generation. Its engines tell the new orders apart now; it still expects three sends.

--- a/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
+++ b/forward/src/main/java/org/verbenatally/forward/HttpMessageCodec.java
@@ -32,16 +32,36 @@
     ResponseHead read(HttpClientResponse response);
 
     /**
-     * Returns the request that copies a running generation to another engine.
+     * Returns the order to copy a running generation to another engine.
      *
      * @param requestId id of the request that asked for the generation
      * @param destination engine that receives the copy
      */
-    CopyRequest copyRequest(String requestId, Address destination);
+    EngineOrder copyRequest(String requestId, Address destination);
 
-    /** Returns the id of a copy from the response to such a request, or empty if there is none. */
+    /**
+     * Returns the order to stop a generation, before the rest of it is copied to another engine.
+     *
+     * @param requestId id of the request that asked for the generation
+     * @param destination engine that receives the copy
+     */
+    EngineOrder stopRequest(String requestId, Address destination);
+
+    /** Returns the order to free the memory of a copy that is not used, for the engine that made it. */
+    EngineOrder releaseRequest(String copyId);
+
+    /** Returns the id of a copy from the response to an order to copy, or empty if there is none. */
     Optional<String> readCopyResponse(int status, Buffer body);
 
-    /** Returns whether the status of such a response states that the engine does not run the generation. */
-    boolean isNotRunning(int copyStatus);
+    /**
+     * Returns the id under which the engine keeps the memory of a generation that it has stopped, whether or not it was
+     * copied, from the response to an order to stop; empty if it has not stopped one.
+     */
+    Optional<String> readStopResponse(int status, Buffer body);
+
+    /**
+     * Returns whether the status of a response to an order to copy or stop states that the engine does not run the
+     * generation.
+     */
+    boolean isNotRunning(int orderStatus);
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -8,6 +8,7 @@
 import org.jboss.logging.Logger;
 import org.verbenatally.core.Address;
 import org.verbenatally.core.LogEvent;
+import org.verbenatally.core.Outcome;
 import org.verbenatally.core.StepException;
 import org.verbenatally.time.TimedAwait;
 
@@ -42,6 +43,7 @@
     private final EventSplitter events;
     private final StreamSender sender;
     private final StreamMigration migration;
+    private final RunStopper stopper;
     private int count;
     private int losses;
     /** Segment that was counted last among the losses. */
@@ -56,6 +58,7 @@
      * Creates the continuation of a generation that runs at its first engine.
      *
      * @param events events that the caller has received
+     * @param stopper ends the runs at engines that were asked to continue and have not accepted
      */
     StreamContinuation(
             ForwardComponents components,
@@ -63,13 +66,15 @@
             CallerExchange caller,
             EventSplitter events,
             StreamSender sender,
-            StreamMigration migration) {
+            StreamMigration migration,
+            RunStopper stopper) {
         this.components = Objects.requireNonNull(components, "components");
         this.request = Objects.requireNonNull(request, "request");
         this.caller = Objects.requireNonNull(caller, "caller");
         this.events = Objects.requireNonNull(events, "events");
         this.sender = Objects.requireNonNull(sender, "sender");
         this.migration = Objects.requireNonNull(migration, "migration");
+        this.stopper = Objects.requireNonNull(stopper, "stopper");
     }
 
     /** Returns how many continuations were tried. */
@@ -83,7 +88,7 @@
             return true;
         }
         if (migration.hasCopy()) {
-            return components.gate().maySend(migration.destination().target());
+            return mayContinueAt(migration.destination());
         }
         if (segment.inFlight().isLong()) {
             migration.start(segment);
@@ -104,7 +109,11 @@
                 && !(backupPaused && now - backupPausedUntil < 0)
                 && !components.directory().isLeaving(inFlight.backup())
                 && !inFlight.backup().isSuspended(now)
-                && components.gate().maySend(inFlight.backup().target());
+                && mayContinueAt(inFlight.backup());
+    }
+
+    private boolean mayContinueAt(TargetState state) {
+        return components.gate().maySend(state.target()) && !stopper.isStopping(state);
     }
 
     /** Continues at another engine while the leaving one still runs the generation; empty if that is not possible. */
@@ -145,9 +154,7 @@
 
     /** Continues from the backup, which is tried again later unless its engine says that it has none. */
     private Optional<StreamSegment> tryBackup(StreamSegment segment, Duration limit, Consumer<Runnable> onSent) {
-        TargetState backup = segment.inFlight().backup();
-        Optional<StreamSegment> next =
-                continueAt(backup, request.id(), backup.target().address(), limit, onSent);
+        Optional<StreamSegment> next = continueAt(backupOf(segment.inFlight()), segment.targetState(), limit, onSent);
         if (next.isEmpty()) {
             pauseBackup();
         }
@@ -188,16 +195,14 @@
                         || backup == refusedBackup
                         || components.crashDetector().mayHaveCrashed(lost)
                 ? Optional.empty()
-                : continueFromBackup(backup);
+                : continueFromBackup(lost);
     }
 
     private Optional<StreamSegment> continueFromMigration(StreamSegment segment, Duration limit) {
-        Optional<StreamSegment> next = continueAt(
-                migration.destination(),
-                migration.copyId(),
-                segment.targetState().target().address(),
-                limit,
-                caller::onGone);
+        TargetState former = segment.targetState();
+        var copy = new Copy(
+                migration.destination(), migration.copyId(), former.target().address());
+        Optional<StreamSegment> next = continueAt(copy, former, limit, caller::onGone);
         if (next.isEmpty()) {
             migration.avoidDestination();
         }
@@ -205,51 +210,67 @@
         return next;
     }
 
-    /** Waits while an engine is cold that holds the only copy of a generation, which would be lost otherwise. */
+    /**
+     * Waits while an engine that holds the only copy of a generation, which would be lost otherwise, is cold or has a
+     * run of it to stop.
+     */
     private void awaitAllowance(TargetState holder) {
         long deadline = components.timer().nanos() + CONTINUE_TIMEOUT.toNanos();
-        while (!caller.isGone()
-                && !components.gate().maySend(holder.target())
-                && components.timer().nanos() - deadline < 0) {
+        while (!caller.isGone() && !mayContinueAt(holder) && components.timer().nanos() - deadline < 0) {
             TimedAwait.sleep(caller.owner(), ALLOWANCE_CHECK_INTERVAL);
         }
     }
 
-    private Optional<StreamSegment> continueFromBackup(TargetState backup) {
-        awaitAllowance(backup);
-        return continueAt(backup, request.id(), backup.target().address(), CONTINUE_TIMEOUT, caller::onGone);
+    private Optional<StreamSegment> continueFromBackup(InFlightRequest lost) {
+        awaitAllowance(lost.backup());
+        return continueAt(backupOf(lost), lost.targetState(), CONTINUE_TIMEOUT, caller::onGone);
+    }
+
+    /**
+     * A copy of the generation.
+     *
+     * @param state the engine that has it, or {@code null} if there is none
+     * @param id its id
+     * @param issuer address of the engine that the id refers to
+     */
+    private record Copy(TargetState state, String id, Address issuer) {}
+
+    private Copy backupOf(InFlightRequest inFlight) {
+        TargetState backup = inFlight.backup();
+        return new Copy(backup, request.id(), backup.target().address());
     }
 
     /**
      * Sends the request to the engine that holds a copy of the generation.
      *
-     * @param state the engine, or {@code null} if there is none
-     * @param copyId id of the copy
-     * @param holder address of the engine that the id refers to
-     * @param limit longest wait for the head of its response
+     * @param former engine that has run the generation until now, or still runs it
+     * @param limit longest wait for the head of the response
      * @param onSent receives the action that cancels the exchange
      */
     private Optional<StreamSegment> continueAt(
-            TargetState state, String copyId, Address holder, Duration limit, Consumer<Runnable> onSent) {
+            Copy copy, TargetState former, Duration limit, Consumer<Runnable> onSent) {
+        TargetState state = copy.state();
         if (state == null
                 || count >= MAX_CONTINUATIONS
                 || caller.isGone()
+                || stopper.isStopping(state)
                 || components.crashDetector().isQuarantined(request.traits())) {
             return Optional.empty();
         }
         count++;
         InFlightRequest inFlight = sender.reserve(state);
         try {
-            var continuation = new ForwardingMetadata.Continuation(holder, copyId, events.lastId());
+            var continuation = new ForwardingMetadata.Continuation(copy.issuer(), copy.id(), events.lastId());
             Attempt attempt = sender.send(inFlight, AdmissionRank.CONTINUED, Optional.of(continuation), limit, onSent);
             ResponseHead head = attempt.head();
             boolean untrusted = attempt.isUntrusted();
             if (head.notRun() || !head.isSuccess() || untrusted) {
-                if (!untrusted && copyId.equals(request.id())) {
+                if (!untrusted && copy.id().equals(request.id())) {
                     refusedBackup = state;
                 }
                 if (untrusted) {
                     attempt.cancel();
+                    stopper.stop(state, former);
                 } else {
                     attempt.discard();
                 }
@@ -270,6 +291,9 @@
         } catch (StepException e) {
             Attempt.logFailure(request, state, e);
             inFlight.end();
+            if (e.outcome() == Outcome.UNKNOWN) {
+                stopper.stop(state, former);
+            }
             return Optional.empty();
         } catch (RuntimeException | Error e) {
             inFlight.end();
--- a/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamMigration.java
@@ -7,12 +7,8 @@
 import java.util.Set;
 
 import io.vertx.core.Context;
-import io.vertx.core.buffer.Buffer;
-import io.vertx.core.http.HttpClientResponse;
 import org.jboss.logging.Logger;
 import org.verbenatally.core.LogEvent;
-import org.verbenatally.core.Outcome;
-import org.verbenatally.core.Step;
 import org.verbenatally.core.StepException;
 import org.verbenatally.core.TargetId;
 import org.verbenatally.time.TimedAwait;
@@ -29,12 +25,11 @@
     /** Capacity becomes free when another generation ends; an engine about to leave has a second or two. */
     private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
 
-    private static final int MAX_RESPONSE_BYTES = 65_536;
-
     private final ForwardComponents components;
     private final ForwardedRequest request;
     private final Generation generation;
     private final Context context;
+    private final EngineOrders orders;
     private TargetState destination;
     private String copyId;
     private boolean copying;
@@ -50,6 +45,7 @@
         this.request = Objects.requireNonNull(request, "request");
         this.generation = Objects.requireNonNull(generation, "generation");
         this.context = Objects.requireNonNull(context, "context");
+        this.orders = new EngineOrders(components, request.id(), components.client()::connectUnpooled);
     }
 
     /** Discards the copy, which can be used only once. */
@@ -171,97 +167,36 @@
     }
 
     private Optional<String> requestCopy(StreamSegment segment, TargetState holder) {
-        CopyRequest copyRequest =
+        TargetState source = segment.targetState();
+        EngineOrder order =
                 components.codec().copyRequest(request.id(), holder.target().address());
         LogEvent event = LogEvent.of("stream.copied")
                 .request(request.id())
-                .with("from", segment.targetState().target().id())
+                .with("from", source.target().id())
                 .with("target", holder.target().id());
         long start = components.timer().nanos();
         long generated = segment.inFlight().generated();
-        TargetExchange exchange = null;
         try {
-            exchange = components
-                    .client()
-                    .connectUnpooled(
-                            segment.targetState().target().address(),
-                            copyRequest.method(),
-                            copyRequest.uri(),
-                            COPY_TIMEOUT);
-            checkEvacuation(exchange, segment.targetState(), holder);
-            HttpClientResponse response = sendOrder(exchange, copyRequest, segment.targetState());
-            Optional<String> copied =
-                    components.codec().readCopyResponse(response.statusCode(), readBody(exchange, response));
-            if (components.codec().isNotRunning(response.statusCode())) {
+            EngineOrders.Response response = orders.send(order, source, COPY_TIMEOUT, () -> isUseful(source, holder));
+            if (components.codec().isNotRunning(response.status())) {
                 notRunning = segment;
                 generatedWhenNotRunning = generated;
             }
-            event.with("status", response.statusCode())
+            event.with("status", response.status())
                     .with(
                             "ms",
                             Duration.ofNanos(components.timer().nanos() - start).toMillis())
                     .info(LOG);
-            return copied;
+            return components.codec().readCopyResponse(response.status(), response.body());
         } catch (StepException e) {
             event.with("step", e.step()).with("reason", e.getMessage()).info(LOG);
             return Optional.empty();
-        } catch (RuntimeException | Error e) {
-            if (exchange != null) {
-                exchange.cancel();
-            }
-            throw e;
         }
     }
 
-    private HttpClientResponse sendOrder(TargetExchange exchange, CopyRequest copyRequest, TargetState source) {
-        try (SendGate.Permit permit = components.gate().acquire(source.target(), exchange)) {
-            HttpClientResponse response =
-                    exchange.send(copyRequest.body(), ResponseTimeout.of(COPY_TIMEOUT), cancel -> {});
-            checkTrust(exchange, response, source, permit);
-            return response;
-        }
-    }
-
-    /** The connection may have taken long; the order is not sent if it could arrive too late, or copy to no use. */
-    private void checkEvacuation(TargetExchange exchange, TargetState source, TargetState holder) {
-        if (!components.directory().mayOrderCopy(source)
-                || components.directory().isEvacuated(holder.target())) {
-            exchange.cancel();
-            components.metrics().countDecision("evacuated");
-            throw new StepException(
-                    Step.RESUME, source.target().id().value(), Outcome.NOT_RUN, "failure domain is evacuated");
-        }
-    }
-
-    private void checkTrust(
-            TargetExchange exchange, HttpClientResponse response, TargetState state, SendGate.Permit permit) {
-        ResponseHead head = components.codec().read(response);
-        ResponseTrust.objectionToOrder(exchange, response, head, request.id()).ifPresent(objection -> {
-            exchange.cancel();
-            components.metrics().countDecision("response distrusted");
-            throw new StepException(Step.RESUME, state.target().id().value(), Outcome.UNKNOWN, objection);
-        });
-        permit.onResponse(head);
-    }
-
-    private Buffer readBody(TargetExchange exchange, HttpClientResponse response) {
-        Buffer body = Buffer.buffer();
-        ResponseBodyReader reader = new ResponseBodyReader(response);
-        long deadline = components.timer().nanos() + COPY_TIMEOUT.toNanos();
-        while (true) {
-            // The deadline covers the complete response, so that an engine that sends a byte now and then cannot hold
-            // up the generation.
-            ResponseBodyReader.Item item =
-                    reader.next(Duration.ofNanos(deadline - components.timer().nanos()));
-            if (item instanceof ResponseBodyReader.Piece chunk && body.length() < MAX_RESPONSE_BYTES) {
-                body.appendBuffer(chunk.bytes());
-            } else if (item instanceof ResponseBodyReader.End) {
-                return body;
-            } else {
-                exchange.cancel();
-                throw new StepException(
-                        Step.RESUME, request.id(), Outcome.UNKNOWN, "answer to the copy broke off: " + item);
-            }
-        }
+    /** Returns whether an order to copy still arrives in time, and the copy could be used. */
+    private boolean isUseful(TargetState source, TargetState holder) {
+        return components.directory().mayOrderCopy(source)
+                && !components.directory().isEvacuated(holder.target());
     }
 }
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -37,6 +37,7 @@
     private final EngineAdmission admission;
     private final StreamMigration migration;
     private final StreamSender sender;
+    private final RunStopper stopper;
     private final StreamContinuation continuation;
     private final SilenceMonitor silence;
     private final Set<TargetId> tried = new HashSet<>();
@@ -84,7 +85,8 @@
         this.migration = new StreamMigration(components, request, generation, context);
         this.sender = new StreamSender(
                 components, request, generation, caller, () -> context.runOnContext(v -> signalReader()));
-        this.continuation = new StreamContinuation(components, request, caller, events, sender, migration);
+        this.stopper = new RunStopper(components, request, generation, context);
+        this.continuation = new StreamContinuation(components, request, caller, events, sender, migration, stopper);
         this.silence = new SilenceMonitor(
                 components.timer(),
                 components.probe()::checkShared,
@@ -242,7 +244,7 @@
             if (next.isEmpty()) {
                 return Optional.of(fail("engine lost"));
             }
-            continueWith(next.get());
+            continueWith(next.get(), state);
         } catch (RuntimeException | Error e) {
             inFlight.end();
             throw e;
@@ -313,7 +315,7 @@
                     if (next.isEmpty()) {
                         return fail("engine lost");
                     }
-                    continueWith(next.get());
+                    continueWith(next.get(), segment.targetState());
                 }
                 default -> throw new IllegalStateException("unexpected end " + end);
             }
@@ -324,15 +326,16 @@
     private void replaceSegment(Optional<StreamSegment> next) {
         if (next.isPresent()) {
             segment.close(false);
-            continueWith(next.get());
+            continueWith(next.get(), segment.targetState());
         } else {
             // The attempt to continue has replaced the action that cancels the present exchange.
             caller.onGone(segment.attempt()::cancel);
         }
     }
 
-    /** Continues with the response of an engine. */
-    private void continueWith(StreamSegment next) {
+    /** Continues with the response of another engine, and ends the run of the former one, whose exchange has ended. */
+    private void continueWith(StreamSegment next, TargetState former) {
+        stopper.stop(former, next.targetState());
         segment = next;
         timing = StreamTiming.ofIntervals(
                 components.speeds(), next.targetState(), components.timer().nanos());
--- a/forward/src/main/java/org/verbenatally/forward/TargetClient.java
+++ b/forward/src/main/java/org/verbenatally/forward/TargetClient.java
@@ -40,6 +40,8 @@
     private static final int MIN_CONNECTIONS = 8;
     /** Largest number of unpooled connections to one target at a time. */
     private static final int MAX_UNPOOLED_CONNECTIONS = 16;
+    /** Largest number of connections to one target, at a time, over which runs are stopped. */
+    private static final int MAX_STOP_CONNECTIONS = 64;
     /** Largest number of connections to one peer at a time. */
     private static final int MAX_PEER_CONNECTIONS = 256;
 
@@ -49,12 +51,14 @@
 
     private final Map<ServiceName, GuardedHttpClient> clients = new ConcurrentHashMap<>();
     private final GuardedHttpClient unpooledClient;
+    private final GuardedHttpClient stopClient;
     private final GuardedHttpClient peerClient;
 
     TargetClient(Vertx vertx, IntSupplier members) {
         this.vertx = Objects.requireNonNull(vertx, "vertx");
         this.members = Objects.requireNonNull(members, "members");
         this.unpooledClient = createClient(false, MAX_UNPOOLED_CONNECTIONS);
+        this.stopClient = createClient(false, MAX_STOP_CONNECTIONS);
         this.peerClient = createClient(false, MAX_PEER_CONNECTIONS);
     }
 
@@ -95,6 +99,15 @@
         return connect(unpooledClient, address, method, uri, limit);
     }
 
+    /**
+     * The same for an order to stop a run, which must not wait for connections on which a target makes copies.
+     *
+     * @throws StepException with outcome {@code NOT_RUN} if there is no connection in time
+     */
+    TargetExchange connectForStop(Address address, HttpMethod method, String uri, Duration limit) {
+        return connect(stopClient, address, method, uri, limit);
+    }
+
     /**
      * Obtains a new connection to another instance, which is closed after the exchange.
      *
--- a/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/ForwardHandlerTest.java
@@ -52,18 +52,33 @@
         }
 
         @Override
-        public CopyRequest copyRequest(String requestId, Address destination) {
+        public EngineOrder copyRequest(String requestId, Address destination) {
             return codec.copyRequest(requestId, destination);
         }
 
+        @Override
+        public EngineOrder stopRequest(String requestId, Address destination) {
+            return codec.stopRequest(requestId, destination);
+        }
+
+        @Override
+        public EngineOrder releaseRequest(String copyId) {
+            return codec.releaseRequest(copyId);
+        }
+
         @Override
         public Optional<String> readCopyResponse(int status, Buffer body) {
             return codec.readCopyResponse(status, body);
         }
 
         @Override
-        public boolean isNotRunning(int copyStatus) {
-            return codec.isNotRunning(copyStatus);
+        public Optional<String> readStopResponse(int status, Buffer body) {
+            return codec.readStopResponse(status, body);
+        }
+
+        @Override
+        public boolean isNotRunning(int orderStatus) {
+            return codec.isNotRunning(orderStatus);
         }
     }
 
--- a/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -133,6 +133,10 @@
     @Test
     void secondSilenceDoesNotEndGeneration() throws Exception {
         RawTarget.Script pausingOnce = (request, out, socket) -> {
+            if (request.startsWith("POST /stop")) {
+                RawTarget.write(out, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+                return true;
+            }
             String last = RawTarget.header(request, TestCodec.LAST_EVENT);
             boolean pauses = sends.incrementAndGet() <= 2;
             int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
--- a/forward/src/test/java/org/verbenatally/forward/TestCodec.java
+++ b/forward/src/test/java/org/verbenatally/forward/TestCodec.java
@@ -105,8 +105,18 @@
     }
 
     @Override
-    public CopyRequest copyRequest(String requestId, Address destination) {
-        return new CopyRequest(HttpMethod.POST, "/copy", Buffer.buffer(requestId + ">" + destination));
+    public EngineOrder copyRequest(String requestId, Address destination) {
+        return new EngineOrder(HttpMethod.POST, "/copy", Buffer.buffer(requestId + ">" + destination));
+    }
+
+    @Override
+    public EngineOrder stopRequest(String requestId, Address destination) {
+        return new EngineOrder(HttpMethod.POST, "/stop", Buffer.buffer(requestId + ">" + destination));
+    }
+
+    @Override
+    public EngineOrder releaseRequest(String copyId) {
+        return new EngineOrder(HttpMethod.DELETE, "/kept/" + copyId, Buffer.buffer());
     }
 
     @Override
@@ -115,7 +125,12 @@
     }
 
     @Override
-    public boolean isNotRunning(int copyStatus) {
-        return copyStatus == 404;
+    public Optional<String> readStopResponse(int status, Buffer body) {
+        return status == 200 ? Optional.of(body.toString()) : Optional.empty();
+    }
+
+    @Override
+    public boolean isNotRunning(int orderStatus) {
+        return orderStatus == 404;
     }
 }
