End the run of a broken exchange before another engine is asked

An engine that had reset the connection of its run, or had not responded to its first send, was ordered to stop only after another engine had accepted the generation.

Nobody reads what the former engine does after its exchange has ended, so there is nothing to wait for: StreamContinuation.prepareRecovery orders it to stop first.

RunStopTest has further cases: orders that are lost or never answered, a next engine that refuses, and departures in a row. Its engines record each run, so that all attempts are checked; EventStreams has what three tests repeated.

--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -131,15 +131,15 @@
      * @param verdict what the silence means
      */
     Optional<StreamSegment> continueFromSilent(StreamSegment segment, SilenceMonitor.Verdict verdict) {
-        boolean stalled = verdict == SilenceMonitor.Verdict.STALLED;
-        if (!stalled) {
+        if (verdict != SilenceMonitor.Verdict.STALLED) {
             countLoss(segment);
         }
         if (losses >= MAX_LOSSES || components.crashDetector().mayHaveCrashed(segment.inFlight())) {
             pauseBackup();
             return Optional.empty();
         }
-        Optional<StreamSegment> next = tryBackup(segment, stalled ? OVERLAP_TIMEOUT : CONTINUE_TIMEOUT, cancel -> {
+        Duration limit = verdict == SilenceMonitor.Verdict.STALLED ? OVERLAP_TIMEOUT : CONTINUE_TIMEOUT;
+        Optional<StreamSegment> next = tryBackup(segment, limit, cancel -> {
             caller.onGone(cancel);
             segment.reader().onProgress(cancel);
         });
@@ -177,11 +177,11 @@
         if (losses >= MAX_LOSSES) {
             return Optional.empty();
         }
+        Optional<StreamSegment> next = Optional.empty();
         if (migration.hasCopy()) {
-            awaitAllowance(migration.destination());
+            prepareRecovery(segment.targetState(), migration.destination());
+            next = continueFromMigration(segment, CONTINUE_TIMEOUT);
         }
-        Optional<StreamSegment> next =
-                migration.hasCopy() ? continueFromMigration(segment, CONTINUE_TIMEOUT) : Optional.empty();
         return next.isPresent() ? next : recover(segment.inFlight());
     }
 
@@ -210,6 +210,15 @@
         return next;
     }
 
+    /**
+     * Ends the run at an engine whose exchange broke off, but which may be at work, and waits until the engine that
+     * holds a copy may be asked to continue.
+     */
+    private void prepareRecovery(TargetState lost, TargetState holder) {
+        stopper.stop(lost, holder);
+        awaitAllowance(holder);
+    }
+
     /**
      * Waits while an engine that holds the only copy of a generation, which would be lost otherwise, is cold or has a
      * run of it to stop.
@@ -222,7 +231,7 @@
     }
 
     private Optional<StreamSegment> continueFromBackup(InFlightRequest lost) {
-        awaitAllowance(lost.backup());
+        prepareRecovery(lost.targetState(), lost.backup());
         return continueAt(backupOf(lost), lost.targetState(), CONTINUE_TIMEOUT, caller::onGone);
     }
 
--- a/forward/src/main/java/org/verbenatally/forward/StreamRun.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamRun.java
@@ -244,7 +244,7 @@
             if (next.isEmpty()) {
                 return Optional.of(fail("engine lost"));
             }
-            continueWith(next.get(), state);
+            continueWith(next.get());
         } catch (RuntimeException | Error e) {
             inFlight.end();
             throw e;
@@ -315,7 +315,7 @@
                     if (next.isEmpty()) {
                         return fail("engine lost");
                     }
-                    continueWith(next.get(), segment.targetState());
+                    continueWith(next.get());
                 }
                 default -> throw new IllegalStateException("unexpected end " + end);
             }
@@ -326,16 +326,16 @@
     private void replaceSegment(Optional<StreamSegment> next) {
         if (next.isPresent()) {
             segment.close(false);
-            continueWith(next.get(), segment.targetState());
+            stopper.stop(segment.targetState(), next.get().targetState());
+            continueWith(next.get());
         } else {
             // The attempt to continue has replaced the action that cancels the present exchange.
             caller.onGone(segment.attempt()::cancel);
         }
     }
 
-    /** Continues with the response of another engine, and ends the run of the former one, whose exchange has ended. */
-    private void continueWith(StreamSegment next, TargetState former) {
-        stopper.stop(former, next.targetState());
+    /** Continues with the response of another engine. */
+    private void continueWith(StreamSegment next) {
         segment = next;
         timing = StreamTiming.ofIntervals(
                 components.speeds(), next.targetState(), components.timer().nanos());
--- a/forward/src/test/java/org/verbenatally/forward/GenerationOverlapTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/GenerationOverlapTest.java
@@ -17,7 +17,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.ForwardFixture.ENGINES;
 
-/** Generations that go on at another engine, and for how long two engines work on them. */
+/** Engines that do not respond when a generation is to go on there, while its former engine works on it. */
 class GenerationOverlapTest {
     /** Two engines may work on one generation for so long. */
     private static final Duration MAX_OVERLAP = Duration.ofMillis(400);
@@ -41,43 +41,19 @@
         fixture.close();
     }
 
-    private static String event(int number) {
-        return "id: " + number + "\ndata: t" + number + "\n\n";
-    }
-
-    private static String events() {
-        StringBuilder text = new StringBuilder();
-        for (int number = 1; number <= LAST_EVENT; number++) {
-            text.append(event(number));
-        }
-        return text.toString();
-    }
-
-    private static void writeHead(String request, OutputStream out) throws IOException {
-        String id = RawTarget.header(request, TestCodec.ID);
-        RawTarget.write(
-                out,
-                "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
-    }
-
-    private static void writeEvent(OutputStream out, int number) throws IOException {
-        String event = event(number);
-        RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-    }
-
     /** Works on a generation to its end, and lets it be copied. */
     private boolean generate(String request, OutputStream out) throws IOException, InterruptedException {
         if (request.startsWith("POST /copy")) {
             RawTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-1");
             return true;
         }
-        writeHead(request, out);
+        EventStreams.writeHead(out, request);
         for (int number = 1; number <= LAST_EVENT; number++) {
-            writeEvent(out, number);
+            EventStreams.writeEvent(out, number);
             started.countDown();
             Thread.sleep(EVENT_INTERVAL.toMillis());
         }
-        RawTarget.write(out, "0\r\n\r\n");
+        EventStreams.writeEnd(out);
         return true;
     }
 
@@ -101,7 +77,7 @@
 
     private void expectCompleteWithoutLongOverlap(CompletableFuture<HttpResponse<String>> response) throws Exception {
         fixture.leave("leaving");
-        assertThat(response.get(BOUND_SECONDS, TimeUnit.SECONDS).body()).isEqualTo(events());
+        assertThat(response.get(BOUND_SECONDS, TimeUnit.SECONDS).body()).isEqualTo(EventStreams.events(1, LAST_EVENT));
         assertThat(unansweredWork)
                 .as("work of the other engine")
                 .isNotEmpty()
--- a/forward/src/test/java/org/verbenatally/forward/RunStopTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/RunStopTest.java
@@ -3,9 +3,14 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -15,12 +20,14 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.ForwardFixture.ENGINES;
 
-/** Engines that go on with a run whose connection was closed, while another engine works on the generation. */
+/** Engines whose runs are ended when their generation goes on at another engine, or is given up there. */
 class RunStopTest {
     /** Two engines may work on one generation for so long. */
     private static final Duration MAX_OVERLAP = Duration.ofMillis(400);
@@ -28,10 +35,18 @@
     private static final Duration EVENT_INTERVAL = Duration.ofMillis(40);
     private static final int EVENT_COUNT = 50;
     private static final int BOUND_SECONDS = 20;
+    /** How long an engine is avoided for new generations, but may keep copies. */
+    private static final long COLD_MS = 10_000;
+
     private static final String STOP = "POST /stop";
     private static final String RELEASE = "DELETE /kept/kept-1 ";
-    private static final String NOT_RUNNING = "404 Not Found";
+    private static final String FOLLOWED = "200 OK";
+    /** Instead of a status: the connection closes without a response, and the order is not followed. */
+    private static final String LOST = "lost";
+    /** Instead of a status: the order is followed, and never answered. */
+    private static final String UNANSWERED = "unanswered";
 
+    private final List<Engine> engines = new ArrayList<>();
     private ForwardFixture fixture;
 
     @BeforeEach
@@ -41,262 +56,288 @@
     }
 
     @AfterEach
-    void stop() {
+    void stop() throws IOException {
         fixture.close();
+        for (Engine engine : engines) {
+            engine.target.close();
+        }
+    }
+
+    /** What an engine does with the connection of its run. */
+    private enum Behaviour {
+        /** Sends events, and drops the run when the connection closes. */
+        SOUND,
+        /** Sends events, and works on when the connection closes. */
+        STUBBORN,
+        /** The same, after it has reset the connection itself. */
+        RESETTING,
+        /** Sends nothing, and drops the run when the connection closes. */
+        MUTE,
+        /** Sends nothing, and works on. */
+        MUTE_STUBBORN,
+        /** Refuses all requests. */
+        REFUSING
     }
 
-    /** What an engine does with its connection while it works. */
-    private enum Connection {
-        /** Sends events on it. */
-        SERVING,
-        /** Sends nothing. */
-        SILENT,
-        /** Resets it after some events. */
-        RESETTING
+    /** The work on a generation at one engine. */
+    private static final class Run {
+        private final long startNanos = System.nanoTime();
+        private volatile long lastWorkNanos = startNanos;
+
+        /** Returns for how long both worked at the same time; negative if they did not. */
+        Duration workBeside(Run other) {
+            long end = Math.min(lastWorkNanos, other.lastWorkNanos);
+            return Duration.ofNanos(end - Math.max(startNanos, other.startNanos));
+        }
     }
 
-    /** An engine that works on its run to the end or until it is ordered to stop, whether or not it is connected. */
-    private static final class StubbornEngine {
+    /** An engine that works on one run at a time, and follows orders. */
+    private static final class Engine {
         private static final int EVENTS_BEFORE_RESET = 10;
 
-        private final Connection connection;
-        /** Status of the response to the n-th order to stop, counted from 0. */
+        private final Behaviour behaviour;
         private final IntFunction<String> stopStatus;
-
+        private final RawTarget target;
         private final AtomicInteger stopOrders = new AtomicInteger();
         private final CountDownLatch started = new CountDownLatch(1);
         private final CountDownLatch ended = new CountDownLatch(1);
+        private final List<Run> runs = new CopyOnWriteArrayList<>();
         private volatile boolean stopped;
-        private volatile long startNanos;
-        private volatile long lastWorkNanos;
-
-        StubbornEngine(Connection connection) {
-            this(connection, order -> "200 OK");
-        }
 
-        StubbornEngine(Connection connection, IntFunction<String> stopStatus) {
-            this.connection = connection;
+        Engine(Behaviour behaviour, IntFunction<String> stopStatus) throws IOException {
+            this.behaviour = behaviour;
             this.stopStatus = stopStatus;
-        }
-
-        private RawTarget listen() throws IOException {
-            return new RawTarget(this::respond);
+            this.target = new RawTarget(this::respond);
         }
 
         private boolean respond(String request, OutputStream out, Socket socket)
                 throws IOException, InterruptedException {
             if (request.startsWith(STOP)) {
-                String status = stopStatus.apply(stopOrders.getAndIncrement());
-                stopped |= status.startsWith("200");
-                RawTarget.write(out, "HTTP/1.1 " + status + "\r\nContent-Length: 6\r\n\r\nkept-1");
+                return followStop(out);
+            }
+            if (request.startsWith("POST /copy") || request.startsWith("DELETE ")) {
+                RawTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\ncopy-1");
                 return true;
             }
-            if (request.startsWith("DELETE ")) {
-                RawTarget.write(out, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            if (behaviour == Behaviour.REFUSING) {
+                String id = RawTarget.header(request, TestCodec.ID);
+                RawTarget.write(
+                        out,
+                        "HTTP/1.1 503 Full\r\nTest-Id: " + id + "\r\nTest-Not-Run: yes\r\nContent-Length: 0\r\n\r\n");
                 return true;
             }
-            startNanos = System.nanoTime();
+            Run run = new Run();
+            runs.add(run);
             try {
-                work(request, out, socket);
+                work(run, request, out, socket);
             } finally {
                 ended.countDown();
             }
             return false;
         }
 
-        private void work(String request, OutputStream out, Socket socket) throws IOException, InterruptedException {
-            boolean connected = connection != Connection.SILENT;
-            if (connected) {
-                writeHead(request, out);
+        private boolean followStop(OutputStream out) throws IOException, InterruptedException {
+            String status = stopStatus.apply(stopOrders.getAndIncrement());
+            stopped |= status.equals(FOLLOWED) || status.equals(UNANSWERED);
+            if (status.equals(UNANSWERED)) {
+                Thread.sleep(100_000);
+            }
+            if (!status.equals(LOST)) {
+                RawTarget.write(out, "HTTP/1.1 " + status + "\r\nContent-Length: 6\r\n\r\nkept-1");
             }
-            for (int number = 1; number <= EVENT_COUNT && !stopped; number++) {
-                connected = connected && tryWriteEvent(out, number);
-                if (connection == Connection.RESETTING && number == EVENTS_BEFORE_RESET) {
+            return !status.equals(LOST);
+        }
+
+        private void work(Run run, String request, OutputStream out, Socket socket)
+                throws IOException, InterruptedException {
+            boolean drops = behaviour == Behaviour.SOUND || behaviour == Behaviour.MUTE;
+            boolean mute = behaviour == Behaviour.MUTE || behaviour == Behaviour.MUTE_STUBBORN;
+            boolean connected = true;
+            if (!mute) {
+                EventStreams.writeHead(out, request);
+            }
+            int first = EventStreams.firstEvent(request);
+            for (int number = first; number <= EVENT_COUNT && !stopped && (connected || !drops); number++) {
+                run.lastWorkNanos = System.nanoTime();
+                connected = connected && (mute ? !isClosed(socket) : tryWriteEvent(out, number));
+                started.countDown();
+                if (behaviour == Behaviour.RESETTING && number == first + EVENTS_BEFORE_RESET) {
                     RawTarget.reset(socket);
+                    connected = false;
                 }
-                lastWorkNanos = System.nanoTime();
-                started.countDown();
                 Thread.sleep(EVENT_INTERVAL.toMillis());
             }
-            if (connected) {
-                RawTarget.write(out, "0\r\n\r\n");
+            if (connected && !mute) {
+                EventStreams.writeEnd(out);
             }
         }
 
         private static boolean tryWriteEvent(OutputStream out, int number) {
             try {
-                writeEvent(out, number);
+                EventStreams.writeEvent(out, number);
                 return true;
             } catch (IOException e) {
                 return false;
             }
         }
 
-        /** Waits for the end of its run, and returns for how long it worked after the given time. */
-        Duration workAfter(long nanos) throws InterruptedException {
-            assertThat(ended.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
-            return Duration.ofNanos(lastWorkNanos - nanos);
+        private static boolean isClosed(Socket socket) throws IOException {
+            socket.setSoTimeout(1);
+            try {
+                return socket.getInputStream().read() < 0;
+            } catch (SocketTimeoutException e) {
+                return false;
+            }
         }
-    }
 
-    /** An engine that continues generations from a copy; one that drops runs whose connection closes. */
-    private static final class SoundEngine {
-        private volatile long acceptedNanos;
-
-        private RawTarget listen() throws IOException {
-            return new RawTarget((request, out, socket) -> {
-                acceptedNanos = System.nanoTime();
-                writeHead(request, out);
-                String last = RawTarget.header(request, TestCodec.LAST_EVENT);
-                for (int number = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; number <= EVENT_COUNT; number++) {
-                    writeEvent(out, number);
-                }
-                RawTarget.write(out, "0\r\n\r\n");
-                return true;
-            });
+        /** Waits for the end of its first run, and returns for how long both engines worked at the same time. */
+        Duration longestWorkBeside(Engine other) throws InterruptedException {
+            assertThat(ended.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+            assertThat(other.runs).isNotEmpty();
+            return runs.stream()
+                    .flatMap(own -> other.runs.stream().map(own::workBeside))
+                    .max(Comparator.naturalOrder())
+                    .orElseThrow();
         }
-    }
 
-    private static String event(int number) {
-        return "id: " + number + "\ndata: t" + number + "\n\n";
-    }
-
-    private static void writeEvent(OutputStream out, int number) throws IOException {
-        String event = event(number);
-        RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-    }
+        long count(String start) {
+            return target.requests().stream()
+                    .filter(head -> head.startsWith(start))
+                    .count();
+        }
 
-    private static void writeHead(String request, OutputStream out) throws IOException {
-        String id = RawTarget.header(request, TestCodec.ID);
-        RawTarget.write(
-                out,
-                "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\nTransfer-Encoding: chunked\r\n\r\n");
+        void awaitCount(String start, long expected) throws InterruptedException {
+            long deadline =
+                    System.nanoTime() + Duration.ofSeconds(BOUND_SECONDS).toNanos();
+            while (count(start) < expected && System.nanoTime() < deadline) {
+                Thread.sleep(10);
+            }
+            assertThat(count(start)).as(start).isEqualTo(expected);
+        }
     }
 
-    private static long count(RawTarget target, String start) {
-        return target.requests().stream().filter(head -> head.startsWith(start)).count();
+    /** Publishes an engine that follows orders to stop by the given statuses, the last one from then on. */
+    private Engine publish(String name, long coldMs, Behaviour behaviour, String... stopStatuses) throws IOException {
+        Engine engine = new Engine(
+                behaviour,
+                order -> stopStatuses.length == 0 ? FOLLOWED : stopStatuses[Math.min(order, stopStatuses.length - 1)]);
+        engines.add(engine);
+        fixture.publish(name, ENGINES, engine.target, coldMs);
+        return engine;
     }
 
-    /** Starts a generation at the engine, whose backup the holder keeps. */
-    private CompletableFuture<HttpResponse<String>> generate(RawTarget engine, RawTarget holder) {
-        fixture.publish("engine", ENGINES, engine);
-        fixture.publish("holder", ENGINES, holder, 10_000);
+    private CompletableFuture<HttpResponse<String>> generate() {
         return fixture.sendLater(fixture.request("/stream/x", "r1")
                 .setHeader(TestCodec.CALLER_TIMEOUT, "10000")
                 .header(TestCodec.TOKENS, "1000")
                 .build());
     }
 
-    private void expectComplete(CompletableFuture<HttpResponse<String>> response) throws Exception {
-        StringBuilder expected = new StringBuilder();
-        for (int number = 1; number <= EVENT_COUNT; number++) {
-            expected.append(event(number));
-        }
-        assertThat(response.get(BOUND_SECONDS, TimeUnit.SECONDS).body()).isEqualTo(expected.toString());
+    private static void expectComplete(CompletableFuture<HttpResponse<String>> response) throws Exception {
+        assertThat(response.get(BOUND_SECONDS, TimeUnit.SECONDS).body()).isEqualTo(EventStreams.events(1, EVENT_COUNT));
     }
 
-    private void awaitCount(RawTarget target, String start, long expected) throws InterruptedException {
-        long deadline = System.nanoTime() + Duration.ofSeconds(BOUND_SECONDS).toNanos();
-        while (count(target, start) < expected && System.nanoTime() < deadline) {
-            Thread.sleep(10);
-        }
-        assertThat(count(target, start)).as(start).isEqualTo(expected);
+    /** Starts a generation at the engine, has the engine leave and expects the whole response. */
+    private void completeBesideDeparture(Engine engine) throws Exception {
+        CompletableFuture<HttpResponse<String>> response = generate();
+        engine.started.await();
+        fixture.leave("engine");
+        expectComplete(response);
     }
 
-    /** Guards against a leaving engine that works on beside the next one, although its connection was closed. */
+    /** Guards against an engine whose response is lost and that works on beside the leaving engine. */
     @Test
-    void leavingEngineIsStopped() throws Exception {
-        var engine = new StubbornEngine(Connection.SERVING);
-        var holder = new SoundEngine();
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            CompletableFuture<HttpResponse<String>> response = generate(engineTarget, holderTarget);
-            engine.started.await();
-            fixture.leave("engine");
-            expectComplete(response);
-            assertThat(engine.workAfter(holder.acceptedNanos)).isLessThan(MAX_OVERLAP);
-            awaitCount(engineTarget, RELEASE, 1);
-        }
+    void unansweredContinuationIsStopped() throws Exception {
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN);
+        Engine holder = publish("holder", COLD_MS, Behaviour.MUTE_STUBBORN);
+        completeBesideDeparture(engine);
+        assertThat(holder.longestWorkBeside(engine)).isLessThan(MAX_OVERLAP);
+    }
+
+    /** Guards against an engine that works on beside the next one, although its connection was closed. */
+    @ParameterizedTest
+    @CsvSource({"SOUND, 404 Not Found, 0", "STUBBORN, 200 OK, 1"})
+    void leavingEngineIsStopped(Behaviour behaviour, String stopStatus, int copiesKept) throws Exception {
+        Engine engine = publish("engine", 0, behaviour, stopStatus);
+        Engine holder = publish("holder", COLD_MS, Behaviour.SOUND);
+        completeBesideDeparture(engine);
+        assertThat(engine.longestWorkBeside(holder)).isLessThan(MAX_OVERLAP);
+        engine.awaitCount(STOP, 1);
+        engine.awaitCount(RELEASE, copiesKept);
+        Thread.sleep(500);
+        assertThat(engine.count(STOP)).as("orders after the response").isEqualTo(1);
+        assertThat(engine.count("DELETE ")).as("copies freed").isEqualTo(copiesKept);
     }
 
     /** Guards against an engine that works on after it has reset the connection of its run. */
-    @Test
-    void engineThatResetsIsStopped() throws Exception {
-        var engine = new StubbornEngine(Connection.RESETTING);
-        var holder = new SoundEngine();
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            expectComplete(generate(engineTarget, holderTarget));
-            assertThat(engine.workAfter(holder.acceptedNanos)).isLessThan(MAX_OVERLAP);
+    @ParameterizedTest
+    @EnumSource(names = {"SOUND", "MUTE"})
+    void engineThatResetsIsStopped(Behaviour holderBehaviour) throws Exception {
+        Engine engine = publish("engine", 0, Behaviour.RESETTING);
+        Engine holder = publish("holder", COLD_MS, holderBehaviour);
+        CompletableFuture<HttpResponse<String>> response = generate();
+        assertThat(holder.started.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+        assertThat(engine.longestWorkBeside(holder)).isLessThan(MAX_OVERLAP);
+        if (holderBehaviour == Behaviour.SOUND) {
+            expectComplete(response);
         }
     }
 
-    /** Guards against an engine whose response is lost and that works on beside the leaving engine. */
+    /** Guards against engines that work on when a generation has to leave one after the other. */
     @Test
-    void unansweredContinuationIsStopped() throws Exception {
-        var engine = new StubbornEngine(Connection.SERVING);
-        var holder = new StubbornEngine(Connection.SILENT);
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            CompletableFuture<HttpResponse<String>> response = generate(engineTarget, holderTarget);
-            engine.started.await();
-            fixture.leave("engine");
-            assertThat(holder.started.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
-            assertThat(holder.workAfter(holder.startNanos)).isLessThan(MAX_OVERLAP);
-            expectComplete(response);
-        }
+    void enginesThatLeaveInARowAreStopped() throws Exception {
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN);
+        Engine second = publish("second", COLD_MS, Behaviour.STUBBORN);
+        CompletableFuture<HttpResponse<String>> response = generate();
+        engine.started.await();
+        Engine third = publish("third", COLD_MS, Behaviour.SOUND);
+        fixture.leave("engine");
+        assertThat(second.started.await(BOUND_SECONDS, TimeUnit.SECONDS)).isTrue();
+        fixture.leave("second");
+        expectComplete(response);
+        assertThat(engine.longestWorkBeside(second)).isLessThan(MAX_OVERLAP);
+        assertThat(second.longestWorkBeside(third)).isLessThan(MAX_OVERLAP);
     }
 
     /** Guards against taking a run for ended although the engine has not followed the order to stop it. */
     @ParameterizedTest
-    @ValueSource(strings = {"409 Conflict", "500 Error", "503 Busy"})
+    @ValueSource(strings = {"409 Conflict", "500 Error", "503 Busy", LOST})
     void orderIsRepeatedUntilTheRunHasEnded(String status) throws Exception {
-        var engine = new StubbornEngine(Connection.SERVING, order -> order < 2 ? status : "200 OK");
-        var holder = new SoundEngine();
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            CompletableFuture<HttpResponse<String>> response = generate(engineTarget, holderTarget);
-            engine.started.await();
-            fixture.leave("engine");
-            expectComplete(response);
-            engine.workAfter(holder.acceptedNanos);
-            awaitCount(engineTarget, STOP, 3);
-            awaitCount(engineTarget, RELEASE, 1);
-        }
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN, status, status, FOLLOWED);
+        publish("holder", COLD_MS, Behaviour.SOUND);
+        completeBesideDeparture(engine);
+        engine.awaitCount(STOP, 3);
+        engine.awaitCount(RELEASE, 1);
     }
 
-    /** Guards against orders to an engine that has said that it does not run the generation. */
+    /** Guards against a caller that waits for the response of an engine that was left. */
     @Test
-    void engineThatHasDroppedItsRunGetsOneOrder() throws Exception {
-        var engine = new StubbornEngine(Connection.SERVING, order -> NOT_RUNNING);
-        var holder = new SoundEngine();
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            CompletableFuture<HttpResponse<String>> response = generate(engineTarget, holderTarget);
-            engine.started.await();
-            fixture.leave("engine");
-            expectComplete(response);
-            awaitCount(engineTarget, STOP, 1);
-            Thread.sleep(500);
-            assertThat(count(engineTarget, STOP)).isEqualTo(1);
-            assertThat(count(engineTarget, "DELETE ")).isZero();
-        }
+    void unansweredOrderDoesNotHoldUpTheCaller() throws Exception {
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN, UNANSWERED);
+        Engine holder = publish("holder", COLD_MS, Behaviour.SOUND);
+        completeBesideDeparture(engine);
+        assertThat(engine.longestWorkBeside(holder)).isLessThan(MAX_OVERLAP);
+        assertThat(engine.count(STOP))
+                .as("orders until the end of the response")
+                .isEqualTo(1);
+    }
+
+    /** Guards against ending the run of an engine that keeps its generation, or one that was refused. */
+    @Test
+    void refusedContinuationEndsNoRun() throws Exception {
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN);
+        Engine holder = publish("holder", COLD_MS, Behaviour.REFUSING);
+        completeBesideDeparture(engine);
+        assertThat(engine.count(STOP) + holder.count(STOP)).isZero();
     }
 
     /** Guards against an order that ends a later run of the generation at the same engine. */
     @Test
     void generationDoesNotReturnToEngineWhileItsRunThereIsStopped() throws Exception {
-        var engine = new StubbornEngine(Connection.SERVING);
-        var holder = new StubbornEngine(Connection.SILENT, order -> "409 Conflict");
-        try (var engineTarget = engine.listen();
-                var holderTarget = holder.listen()) {
-            CompletableFuture<HttpResponse<String>> response = generate(engineTarget, holderTarget);
-            engine.started.await();
-            fixture.leave("engine");
-            expectComplete(response);
-            assertThat(count(holderTarget, STOP)).isPositive();
-            assertThat(count(holderTarget, "GET /stream") + count(holderTarget, "POST /stream"))
-                    .isEqualTo(1);
-        }
+        Engine engine = publish("engine", 0, Behaviour.STUBBORN);
+        Engine holder = publish("holder", COLD_MS, Behaviour.MUTE_STUBBORN, "409 Conflict");
+        completeBesideDeparture(engine);
+        assertThat(holder.count(STOP)).isPositive();
+        assertThat(holder.count("GET /stream")).isEqualTo(1);
     }
 }
--- a/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/SilentTargetTest.java
@@ -1,8 +1,6 @@
 package org.verbenatally.forward;
 
-import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -51,32 +49,15 @@
         return "HTTP/1.1 200 OK\r\nTest-Id: " + id + "\r\nTest-Signed: yes\r\n" + more + "\r\n";
     }
 
-    private static String event(int number) {
-        return "id: " + number + "\ndata: t" + number + "\n\n";
-    }
-
-    private static String events(int first, int last) {
-        StringBuilder text = new StringBuilder();
-        for (int number = first; number <= last; number++) {
-            text.append(event(number));
-        }
-        return text.toString();
-    }
-
-    private static void writeEvent(OutputStream out, int number) throws IOException {
-        String event = event(number);
-        RawTarget.write(out, Integer.toHexString(event.length()) + "\r\n" + event + "\r\n");
-    }
-
     /** Returns an engine that pauses before its third event, and completes every generation. */
     private static RawTarget.Script pausing(Duration pause) {
         return (request, out, socket) -> {
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            EventStreams.writeHead(out, request);
             for (int number = 1; number <= LAST_EVENT; number++) {
                 Thread.sleep(number == 3 ? pause.toMillis() : 0);
-                writeEvent(out, number);
+                EventStreams.writeEvent(out, number);
             }
-            RawTarget.write(out, "0\r\n\r\n");
+            EventStreams.writeEnd(out);
             return true;
         };
     }
@@ -111,7 +92,7 @@
             fixture.publish("holder", ENGINES, holder, 10_000);
             HttpResponse<String> response = generate("r1");
             assertThat(response.statusCode()).isEqualTo(OK);
-            assertThat(response.body()).isEqualTo(events(1, LAST_EVENT));
+            assertThat(response.body()).isEqualTo(EventStreams.events(1, LAST_EVENT));
         }
     }
 
@@ -137,15 +118,14 @@
                 RawTarget.write(out, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
                 return true;
             }
-            String last = RawTarget.header(request, TestCodec.LAST_EVENT);
             boolean pauses = sends.incrementAndGet() <= 2;
-            int first = last.isEmpty() ? 1 : Integer.parseInt(last) + 1;
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            int first = EventStreams.firstEvent(request);
+            EventStreams.writeHead(out, request);
             for (int number = first; number <= LAST_EVENT; number++) {
                 Thread.sleep(pauses && number == first + 1 ? LONG_PAUSE.toMillis() : 0);
-                writeEvent(out, number);
+                EventStreams.writeEvent(out, number);
             }
-            RawTarget.write(out, "0\r\n\r\n");
+            EventStreams.writeEnd(out);
             return true;
         };
         try (var third = new RawTarget(pausingOnce)) {
@@ -173,8 +153,8 @@
     @Test
     void backupIsTriedAgainWhenTheEngineDies() throws Exception {
         RawTarget.Script dying = (request, out, socket) -> {
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
-            writeEvent(out, 1);
+            EventStreams.writeHead(out, request);
+            EventStreams.writeEvent(out, 1);
             Thread.sleep(LONG_PAUSE.toMillis());
             RawTarget.reset(socket);
             return false;
@@ -183,11 +163,11 @@
             if (sends.incrementAndGet() == 1) {
                 Thread.sleep(100_000);
             }
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            EventStreams.writeHead(out, request);
             for (int number = 2; number <= LAST_EVENT; number++) {
-                writeEvent(out, number);
+                EventStreams.writeEvent(out, number);
             }
-            RawTarget.write(out, "0\r\n\r\n");
+            EventStreams.writeEnd(out);
             return true;
         };
         expectComplete(dying, silentAtFirst);
@@ -198,24 +178,24 @@
     void generationLeavesSilentEngineThatNoLongerListens() throws Exception {
         RawTarget[] dead = new RawTarget[1];
         RawTarget.Script dying = (request, out, socket) -> {
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
-            writeEvent(out, 1);
+            EventStreams.writeHead(out, request);
+            EventStreams.writeEvent(out, 1);
             dead[0].close();
             Thread.sleep(100_000);
             return false;
         };
         try (var holder = new RawTarget((request, out, socket) -> {
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
+            EventStreams.writeHead(out, request);
             for (int number = 2; number <= LAST_EVENT; number++) {
-                writeEvent(out, number);
+                EventStreams.writeEvent(out, number);
             }
-            RawTarget.write(out, "0\r\n\r\n");
+            EventStreams.writeEnd(out);
             return true;
         })) {
             dead[0] = new RawTarget(dying);
             fixture.publish("engine", ENGINES, dead[0]);
             fixture.publish("holder", ENGINES, holder, 10_000);
-            assertThat(generate("r1").body()).isEqualTo(events(1, LAST_EVENT));
+            assertThat(generate("r1").body()).isEqualTo(EventStreams.events(1, LAST_EVENT));
         }
     }
 
@@ -225,8 +205,8 @@
         CompletableFuture<Void> refused = new CompletableFuture<>();
         CompletableFuture<Void> cancelled = new CompletableFuture<>();
         RawTarget.Script silent = (request, out, socket) -> {
-            RawTarget.write(out, head(request, "Transfer-Encoding: chunked\r\n"));
-            writeEvent(out, 1);
+            EventStreams.writeHead(out, request);
+            EventStreams.writeEvent(out, 1);
             if (socket.getInputStream().read() < 0) {
                 cancelled.complete(null);
             }
