Give a continuation up after 250 ms while the former engine is out of reach

A generation whose engine had fallen silent and could not be reached was offered to another engine for 2 s.

Out of reach is not lost: the engine may still run the generation. It is treated like one that has stalled, with 250 ms for the other engine, and a new attempt after a second. Only an engine that refuses connections has ended.

--- a/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
+++ b/forward/src/main/java/org/verbenatally/forward/StreamContinuation.java
@@ -138,7 +138,8 @@
             pauseBackup();
             return Optional.empty();
         }
-        Duration limit = verdict == SilenceMonitor.Verdict.STALLED ? OVERLAP_TIMEOUT : CONTINUE_TIMEOUT;
+        // An engine that is out of reach may be back, and still run the generation, before the other one responds.
+        Duration limit = verdict == SilenceMonitor.Verdict.DEAD ? CONTINUE_TIMEOUT : OVERLAP_TIMEOUT;
         Optional<StreamSegment> next = tryBackup(segment, limit, cancel -> {
             caller.onGone(cancel);
             segment.reader().onProgress(cancel);
--- a/forward/src/test/java/org/verbenatally/forward/GenerationOverlapTest.java
+++ b/forward/src/test/java/org/verbenatally/forward/GenerationOverlapTest.java
@@ -2,6 +2,10 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.List;
@@ -13,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.verbenatally.core.Address;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.verbenatally.forward.ForwardFixture.ENGINES;
@@ -109,4 +114,57 @@
             expectCompleteWithoutLongOverlap(response);
         }
     }
+
+    /** Sends one event on its first connection, and then accepts no further one: connection attempts time out. */
+    private void serveUnreachably(ServerSocket server, List<Socket> sockets) throws IOException {
+        Socket socket = server.accept();
+        sockets.add(socket);
+        StringBuilder request = new StringBuilder();
+        while (request.indexOf("\r\n\r\n") < 0) {
+            request.append((char) socket.getInputStream().read());
+        }
+        EventStreams.writeHead(socket.getOutputStream(), request.toString());
+        EventStreams.writeEvent(socket.getOutputStream(), 1);
+        started.countDown();
+        try {
+            while (true) {
+                Socket waiting = new Socket();
+                sockets.add(waiting);
+                waiting.connect(server.getLocalSocketAddress(), 200);
+            }
+        } catch (SocketTimeoutException e) {
+            // The queue of the listener is full.
+        }
+    }
+
+    /** Guards against two engines that work on one generation while the former one cannot be reached for a moment. */
+    @Test
+    void unansweredBackupDoesNotWorkBesideUnreachableEngine() throws Exception {
+        List<Socket> sockets = new CopyOnWriteArrayList<>();
+        try (var server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                var holder = losingResponses()) {
+            Thread.ofVirtual().start(() -> {
+                try {
+                    serveUnreachably(server, sockets);
+                } catch (IOException e) {
+                    // The test has ended.
+                }
+            });
+            fixture.publish("engine", ENGINES, new Address("127.0.0.1", server.getLocalPort()), 0);
+            fixture.publish("holder", ENGINES, holder, 10_000);
+            generateLater();
+            long deadline =
+                    System.nanoTime() + Duration.ofSeconds(BOUND_SECONDS).toNanos();
+            while (unansweredWork.isEmpty() && System.nanoTime() < deadline) {
+                Thread.sleep(10);
+            }
+            assertThat(unansweredWork)
+                    .first()
+                    .satisfies(work -> assertThat(work).isLessThan(MAX_OVERLAP));
+        } finally {
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+    }
 }
